--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -99,7 +99,7 @@
 		`{"changes":[]}`:                   "change id must be 1 to 128",
 		`{"id":"x","id":"x","changes":[]}`: "change id stands twice",
 		`{"id":"x","changes":[],"more":1}`: "change more is not known",
-		part(`{"kind":"shop","name":"a","put":{}}`):                                                  "changes.0 kind must be service, route or cell",
+		part(`{"kind":"shop","name":"a","put":{}}`):                                                  "changes.0 kind must be service, route, cell or limits",
 		part(`{"kind":"service","name":"A b","put":{}}`):                                             "changes.0 name must be lower-case",
 		part(`{"kind":"service","name":"a"}`):                                                        "service/a  must have one of put, set and remove",
 		part(`{"kind":"service","name":"a","put":{"tier":10}}`):                                      "service/a tier must be from 0 to 9",
--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -9,13 +9,9 @@
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
 
-	"dunlinwell/internal/ledger"
 	"dunlinwell/internal/ticket"
 )
 
-// OpChange applies a checked change to the policy.
-const OpChange ledger.Op = 1
-
 // Part changes one item: put whole, set some fields of it, or remove it.
 type Part struct {
 	Kind    string           `json:"kind"`
@@ -129,7 +125,7 @@
 	Only(part, "", bad, "kind", "name", "version", "put", "set", "remove")
 	kind, name := part.Get("kind"), part.Get("name")
 	if _, ok := fields[kind.Str]; !ok || kind.Type != gjson.String {
-		bad("kind", "must be service, route or cell")
+		bad("kind", "must be service, route, cell or limits")
 		return
 	}
 	if name.Type != gjson.String || !nameRule.MatchString(name.Str) {
@@ -166,27 +162,6 @@
 	}
 }
 
-// Ops are the change functions of the policy.
-func Ops() map[ledger.Op]ledger.Func {
-	return map[ledger.Op]ledger.Func{OpChange: func(_ ticket.Key, old, arg []byte) ([]byte, []byte) {
-		p, err := Open(old)
-		if err != nil {
-			return old, nil
-		}
-		c, faults := ReadChange(arg)
-		res := Result{ID: c.ID, Revision: p.Revision, Faults: faults}
-		next := p
-		if len(faults) == 0 {
-			next, res = p.Apply(c)
-		}
-		out, _ := json.Marshal(res)
-		if next == p {
-			return old, out
-		}
-		return next.Pack(true), out
-	}}
-}
-
 // Apply gives the policy after a change, or the same policy if it is declined.
 func (p *Policy) Apply(c Change) (*Policy, Result) {
 	// A resent change gets its first result, not a second version.
@@ -197,8 +172,7 @@
 			}
 		}
 	}
-	next := &Policy{Revision: p.Revision + 1, Services: maps.Clone(p.Services),
-		Routes: maps.Clone(p.Routes), Cells: maps.Clone(p.Cells), Declined: p.Declined}
+	next := p.copy()
 	res := Result{ID: c.ID, Revision: p.Revision}
 	var done []Touched
 	for _, part := range c.Parts {
@@ -232,6 +206,10 @@
 	}
 	if part.Remove {
 		delete(items, part.Name)
+		// An item whose versions come from outside stays removed for them too.
+		if have.Source != nil {
+			p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
+		}
 		return Touched{Kind: part.Kind, Name: part.Name}
 	}
 	body := part.Put
@@ -242,6 +220,11 @@
 		})
 	}
 	t.Version = p.Revision
-	items[part.Name] = Item{Version: p.Revision, Body: pretty.Ugly(body)}
+	// Versions given from outside may run ahead of ours; none goes back.
+	if v, ok := p.version(part.Kind, part.Name); ok {
+		t.Version = max(t.Version, v+1)
+	}
+	delete(p.Removed, part.Kind+"/"+string(part.Name))
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body)}
 	return t
 }
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -32,6 +32,7 @@
 var (
 	nameRule   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 	prefixRule = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,255}$`)
+	hostRule   = regexp.MustCompile(`^[A-Za-z0-9._:\[\]-]{1,255}$`)
 	changeRule = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 )
 
@@ -44,10 +45,18 @@
 		{path: "capacity", kind: gjson.Number, low: 1, high: 100000},
 		{path: "warm_ms", kind: gjson.Number, low: 0, high: 600000},
 		{path: "allowance", kind: gjson.Number, low: 0, high: 1000},
+		{path: "warm_rate", kind: gjson.Number, low: 0, high: 1e6},
+		{path: "circuits", kind: gjson.Number, low: 0, high: 1e6},
 	},
 	"route": {
 		{path: "prefix", kind: gjson.String, required: true, rule: prefixRule, hint: "a path that starts with /"},
-		{path: "service", kind: gjson.String, required: true, rule: nameRule, hint: nameHint},
+		{path: "service", kind: gjson.String, rule: nameRule, hint: nameHint},
+		{path: "host", kind: gjson.String, rule: hostRule, hint: "a host's name or IP number"},
+		{path: "split", kind: gjson.JSON},
+		{path: "single", kind: gjson.True},
+		{path: "goal_ms", kind: gjson.Number, low: 0, high: 660000},
+		{path: "attempts", kind: gjson.Number, low: 1, high: 100},
+		{path: "homes", kind: gjson.JSON},
 		{path: "tier", kind: gjson.Number, low: 0, high: 9},
 		{path: "repeatable", kind: gjson.True, required: true},
 		{path: "limit_ms", kind: gjson.Number, low: 10, high: 120000},
@@ -59,12 +68,19 @@
 		{path: "acceptable", kind: gjson.Number, low: 1, high: 1e9},
 		{path: "maximum", kind: gjson.Number, low: 1, high: 1e9},
 		{path: "emptied", kind: gjson.True},
+		{path: "shut", kind: gjson.True},
 		{path: "distances", kind: gjson.JSON},
 	},
+	"limits": {
+		{path: "max_header", kind: gjson.Number, low: 1024, high: 1 << 24},
+		{path: "max_body", kind: gjson.Number, low: 0, high: 1 << 31},
+		{path: "header_ms", kind: gjson.Number, low: 100, high: 600000},
+		{path: "idle_ms", kind: gjson.Number, low: 100, high: 3600000},
+	},
 }
 
 // whole are the fields that count things, so no fraction will do.
-var whole = map[string]bool{"tier": true, "capacity": true, "warm_ms": true, "allowance": true, "limit_ms": true, "max_body": true}
+var whole = map[string]bool{"tier": true, "capacity": true, "warm_ms": true, "allowance": true, "limit_ms": true, "max_body": true, "circuits": true, "goal_ms": true, "attempts": true, "max_header": true, "header_ms": true, "idle_ms": true}
 
 // twice finds keys that stand twice in an object: two readers could each take
 // another of them for the truth.
@@ -119,8 +135,11 @@
 		}
 		return true
 	})
-	if kind == "cell" {
+	switch kind {
+	case "cell":
 		checkCell(doc, bad)
+	case "route":
+		checkSplit(doc, bad)
 	}
 }
 
@@ -152,7 +171,12 @@
 			bad(f.path, "is kept for the daemons' own pages")
 		}
 	case gjson.JSON:
-		if !v.IsObject() {
+		switch {
+		case f.path == "split" || f.path == "homes":
+			if !v.IsArray() {
+				bad(f.path, "must be a list")
+			}
+		case !v.IsObject():
 			bad(f.path, "must be an object")
 		}
 	}
@@ -199,11 +223,13 @@
 	for _, n := range sorted(p.Routes) {
 		doc := gjson.ParseBytes(p.Routes[n].Body)
 		item := "route/" + string(n)
-		s := ticket.Name(doc.Get("service").Str)
-		if _, ok := p.Services[s]; !ok {
-			faults = append(faults, Fault{item, "service", fmt.Sprintf("there is no service %q", s)})
+		faults = append(faults, p.unknownServices(n, p.Routes[n].Body)...)
+		// Those merged from outside are their caller's own business; of two with
+		// one place the first by name holds.
+		if p.Routes[n].Source != nil {
+			continue
 		}
-		at := strings.TrimRight(doc.Get("prefix").Str, "/")
+		at := doc.Get("host").Str + strings.TrimRight(doc.Get("prefix").Str, "/")
 		if other, used := prefix[at]; used {
 			faults = append(faults, Fault{item, "prefix", fmt.Sprintf("is that of route %q too", other)})
 		}
--- /dev/null
+++ b/internal/catalogue/merge.go
@@ -0,0 +1,185 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/pretty"
+
+	"dunlinwell/internal/ledger"
+	"dunlinwell/internal/ticket"
+)
+
+// OpMerge merges items whose versions their caller gave.
+const OpMerge ledger.Op = 2
+
+// Given is an item whose version its caller gave: for each name the highest
+// version holds, set or removed; lower or equal ones change nothing.
+type Given struct {
+	Kind    string          `json:"kind"`
+	Name    ticket.Name     `json:"name"`
+	Version ticket.Revision `json:"version"`
+	Body    json.RawMessage `json:"body,omitempty"`
+	Source  json.RawMessage `json:"source,omitempty"`
+	Removed bool            `json:"removed,omitempty"`
+}
+
+// Merging is a call's items; it is valid whole or declined whole. Sent again,
+// late or out of order it does no harm, so it needs no id.
+type Merging struct {
+	Items []Given `json:"items"`
+}
+
+// mostGiven bounds the items of one call.
+const mostGiven = 200000
+
+// Check finds what a merging's own words show to be wrong.
+func (m Merging) Check() []Fault {
+	var faults []Fault
+	item := "items"
+	bad := func(path, why string) { faults = append(faults, Fault{item, path, why}) }
+	if len(m.Items) > mostGiven {
+		bad("", fmt.Sprintf("must be %d at most", mostGiven))
+		return faults
+	}
+	for i, g := range m.Items {
+		item = fmt.Sprintf("items.%d", i)
+		if _, ok := fields[g.Kind]; !ok {
+			bad("kind", "is not known")
+			continue
+		}
+		if len(g.Name) == 0 || len(g.Name) > 256 {
+			bad("name", "must be 1 to 256 bytes")
+			continue
+		}
+		item = g.Kind + "/" + string(g.Name)
+		if g.Removed {
+			continue
+		}
+		if !gjson.ValidBytes(g.Body) {
+			bad("", "is not valid JSON")
+			continue
+		}
+		checkGiven(g.Kind, string(g.Body), bad)
+	}
+	return faults
+}
+
+// Merge gives the policy with a call's items merged in, or the same policy if
+// the call is declined or brings nothing newer.
+func (p *Policy) Merge(m Merging) (*Policy, Result) {
+	res := Result{Revision: p.Revision, Faults: m.Check()}
+	if len(res.Faults) > 0 {
+		return p, res
+	}
+	next := p.copy()
+	changed := false
+	for _, g := range m.Items {
+		if next.merge(g) {
+			changed = true
+		}
+		v, _ := next.version(g.Kind, g.Name)
+		res.Items = append(res.Items, Touched{Kind: g.Kind, Name: g.Name, Version: v})
+	}
+	// A route of the call is judged even where it is overtaken: what names a
+	// service that isn't there is wrong whatever came later.
+	for _, g := range m.Items {
+		if g.Kind == "route" && !g.Removed {
+			res.Faults = append(res.Faults, next.unknownServices(g.Name, g.Body)...)
+		}
+	}
+	if changed {
+		for _, n := range sorted(next.Routes) {
+			res.Faults = append(res.Faults, next.unknownServices(n, next.Routes[n].Body)...)
+		}
+	}
+	if len(res.Faults) > 0 {
+		return p, Result{Revision: p.Revision, Faults: res.Faults}
+	}
+	if !changed {
+		return p, res
+	}
+	res.Revision = next.Revision
+	return next, res
+}
+
+// copy gives the next revision's policy, with maps of its own.
+func (p *Policy) copy() *Policy {
+	return &Policy{Revision: p.Revision + 1, Services: maps.Clone(p.Services), Routes: maps.Clone(p.Routes), Cells: maps.Clone(p.Cells),
+		Limits: maps.Clone(p.Limits), Removed: maps.Clone(p.Removed), Recent: p.Recent, Declined: p.Declined}
+}
+
+// version gives the version that holds for a name, set or removed.
+func (p *Policy) version(kind string, name ticket.Name) (ticket.Revision, bool) {
+	if it, ok := p.Of(kind)[name]; ok {
+		return it.Version, true
+	}
+	v, ok := p.Removed[kind+"/"+string(name)]
+	return v, ok
+}
+
+// merge takes one item if its version is the highest for its name.
+func (p *Policy) merge(g Given) bool {
+	if v, ok := p.version(g.Kind, g.Name); ok && g.Version <= v {
+		return false
+	}
+	key := g.Kind + "/" + string(g.Name)
+	if g.Removed {
+		delete(p.Of(g.Kind), g.Name)
+		p.bury(key, g.Version)
+		return true
+	}
+	delete(p.Removed, key)
+	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source}
+	return true
+}
+
+// bury notes under which version an item was removed.
+func (p *Policy) bury(key string, v ticket.Revision) {
+	if p.Removed == nil {
+		p.Removed = map[string]ticket.Revision{}
+	}
+	p.Removed[key] = v
+}
+
+// unknownServices finds services that a route names and that aren't there.
+func (p *Policy) unknownServices(n ticket.Name, body []byte) []Fault {
+	var r Route
+	if err := json.Unmarshal(body, &r); err != nil {
+		return []Fault{{"route/" + string(n), "", err.Error()}}
+	}
+	var faults []Fault
+	names := []ticket.Name{r.Service}
+	if len(r.Split) > 0 {
+		names = names[:0]
+		for _, s := range r.Split {
+			names = append(names, s.Service)
+		}
+	}
+	for _, s := range names {
+		if _, ok := p.Services[s]; !ok {
+			faults = append(faults, Fault{"route/" + string(n), "service", fmt.Sprintf("there is no service %q", s)})
+		}
+	}
+	return faults
+}
+
+// mergeOp is Merge as a register's change function.
+func mergeOp(_ ticket.Key, old, arg []byte) ([]byte, []byte) {
+	p, err := Open(old)
+	if err != nil {
+		return old, nil
+	}
+	var m Merging
+	if json.Unmarshal(arg, &m) != nil {
+		return old, nil
+	}
+	next, res := p.Merge(m)
+	out, _ := json.Marshal(res)
+	if next == p {
+		return old, out
+	}
+	return next.Pack(true), out
+}
--- /dev/null
+++ b/internal/catalogue/ops.go
@@ -0,0 +1,32 @@
+package catalogue
+
+import (
+	"encoding/json"
+
+	"dunlinwell/internal/ledger"
+	"dunlinwell/internal/ticket"
+)
+
+// OpChange applies a checked change to the policy.
+const OpChange ledger.Op = 1
+
+// Ops are the change functions of the policy.
+func Ops() map[ledger.Op]ledger.Func {
+	return map[ledger.Op]ledger.Func{OpMerge: mergeOp, OpChange: func(_ ticket.Key, old, arg []byte) ([]byte, []byte) {
+		p, err := Open(old)
+		if err != nil {
+			return old, nil
+		}
+		c, faults := ReadChange(arg)
+		res := Result{ID: c.ID, Revision: p.Revision, Faults: faults}
+		next := p
+		if len(faults) == 0 {
+			next, res = p.Apply(c)
+		}
+		out, _ := json.Marshal(res)
+		if next == p {
+			return old, out
+		}
+		return next.Pack(true), out
+	}}
+}
--- a/internal/catalogue/policy.go
+++ b/internal/catalogue/policy.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"time"
 
 	"dunlinwell/internal/ticket"
 )
@@ -20,6 +19,9 @@
 type Item struct {
 	Version ticket.Revision `json:"version"`
 	Body    json.RawMessage `json:"body"`
+	// Source is the item in its caller's own form, where that isn't ours; it is
+	// kept as it was sent, to be read back.
+	Source json.RawMessage `json:"source,omitempty"`
 }
 
 // Policy is all items, and the results of recent changes by change id.
@@ -28,7 +30,11 @@
 	Services map[ticket.Name]Item `json:"services"`
 	Routes   map[ticket.Name]Item `json:"routes"`
 	Cells    map[ticket.Name]Item `json:"cells"`
-	Recent   []Result             `json:"recent,omitempty"`
+	Limits   map[ticket.Name]Item `json:"limits,omitempty"`
+	// Removed holds, by kind/name, the version under which an item was removed:
+	// an older copy that arrives later must not bring it back.
+	Removed map[string]ticket.Revision `json:"removed,omitempty"`
+	Recent  []Result                   `json:"recent,omitempty"`
 	// Declined are kept as well: a late copy of a change whose caller was told
 	// that it is declined must not be accepted once the item it lacked is there.
 	Declined []Result `json:"declined,omitempty"`
@@ -44,35 +50,28 @@
 	Warm int `json:"warm_ms"`
 	// Allowance is the fleet's small allowance of retries beyond one in five.
 	Allowance int `json:"allowance"`
-}
-
-// Route is how a request finds a service, how urgent it is, and whether it
-// may be repeated.
-type Route struct {
-	Name       ticket.Name `json:"-"`
-	Prefix     string      `json:"prefix"`
-	Service    ticket.Name `json:"service"`
-	Tier       int         `json:"tier"`
-	Repeatable bool        `json:"repeatable"`
-	Limit      int         `json:"limit_ms"`
-	MaxBody    int         `json:"max_body"`
+	// WarmRate is how many requests a second a cold target bears from the whole
+	// fleet; 0 where only places bound it.
+	WarmRate float64 `json:"warm_rate"`
+	// Circuits is how many circuits a target takes from all callers; 0 for any.
+	Circuits int `json:"circuits"`
 }
 
 // Cell is a zone: its region, its set points in ms of CPU a second, and
 // whether it is emptied.
 type Cell struct {
-	Name       ticket.Name                 `json:"-"`
-	Region     string                      `json:"region"`
-	Target     float64                     `json:"target"`
-	Acceptable float64                     `json:"acceptable"`
-	Maximum    float64                     `json:"maximum"`
-	Emptied    bool                        `json:"emptied"`
-	Distances  map[ticket.Name]json.Number `json:"distances"`
+	Name       ticket.Name `json:"-"`
+	Region     string      `json:"region"`
+	Target     float64     `json:"target"`
+	Acceptable float64     `json:"acceptable"`
+	Maximum    float64     `json:"maximum"`
+	Emptied    bool        `json:"emptied"`
+	// Shut: nothing more is sent to the cell's targets, while its counters go on
+	// serving from the targets of other cells.
+	Shut      bool                        `json:"shut"`
+	Distances map[ticket.Name]json.Number `json:"distances"`
 }
 
-// LimitTime is the route's time limit.
-func (r Route) LimitTime() time.Duration { return time.Duration(r.Limit) * time.Millisecond }
-
 // Open reads a policy; nil bytes are an empty one.
 func Open(raw []byte) (*Policy, error) {
 	p := &Policy{}
@@ -81,7 +80,7 @@
 			return nil, err
 		}
 	}
-	for _, m := range []*map[ticket.Name]Item{&p.Services, &p.Routes, &p.Cells} {
+	for _, m := range []*map[ticket.Name]Item{&p.Services, &p.Routes, &p.Cells, &p.Limits} {
 		if *m == nil {
 			*m = map[ticket.Name]Item{}
 		}
@@ -108,6 +107,8 @@
 		return p.Routes
 	case "cell":
 		return p.Cells
+	case "limits":
+		return p.Limits
 	}
 	return nil
 }
@@ -120,70 +121,3 @@
 	}
 	return fmt.Sprintf("revision %d", p.Revision)
 }
-
-// View is the policy as daemons use it: typed, with defaults filled in.
-type View struct {
-	Revision ticket.Revision
-	Services map[ticket.Name]Service
-	Routes   map[ticket.Name]Route
-	Cells    map[ticket.Name]Cell
-}
-
-// View reads the items. They were checked when they were accepted.
-func (p *Policy) View() *View {
-	v := &View{Revision: p.Revision, Services: map[ticket.Name]Service{},
-		Routes: map[ticket.Name]Route{}, Cells: map[ticket.Name]Cell{}}
-	for n, it := range p.Services {
-		s := Service{Tier: 5, Capacity: 16, Warm: 10000, Allowance: 10}
-		_ = json.Unmarshal(it.Body, &s)
-		s.Name = n
-		v.Services[n] = s
-	}
-	for n, it := range p.Routes {
-		r := Route{Tier: 5, Limit: 5000, MaxBody: 1 << 20}
-		_ = json.Unmarshal(it.Body, &r)
-		r.Name = n
-		v.Routes[n] = r
-	}
-	for n, it := range p.Cells {
-		c := Cell{Target: 8500}
-		_ = json.Unmarshal(it.Body, &c)
-		c.Name = n
-		if c.Maximum == 0 {
-			c.Maximum = c.Target * 1.1
-		}
-		if c.Acceptable == 0 {
-			c.Acceptable = c.Target * 0.8
-		}
-		v.Cells[n] = c
-	}
-	return v
-}
-
-// Distance tells how far two cells are apart, as policy says; far if it
-// doesn't, nearer within a region.
-func (v *View) Distance(a, b ticket.Name) float64 {
-	if a == b {
-		return 0
-	}
-	for _, p := range [][2]ticket.Name{{a, b}, {b, a}} {
-		if d, ok := v.Cells[p[0]].Distances[p[1]]; ok {
-			if f, err := d.Float64(); err == nil {
-				return f
-			}
-		}
-	}
-	if r := v.Cells[a].Region; r != "" && r == v.Cells[b].Region {
-		return 1
-	}
-	return 1000
-}
-
-// overlay lays the fields of set over a body.
-func overlay(body, set json.RawMessage) json.RawMessage {
-	m := map[string]json.RawMessage{}
-	_ = json.Unmarshal(body, &m)
-	_ = json.Unmarshal(set, &m)
-	raw, _ := json.Marshal(m)
-	return raw
-}
--- /dev/null
+++ b/internal/catalogue/view.go
@@ -0,0 +1,98 @@
+package catalogue
+
+import (
+	"encoding/json"
+
+	"dunlinwell/internal/ticket"
+)
+
+// defaultTarget is a cell's comfortable level where nobody names one, in ms of
+// CPU a second.
+const defaultTarget = 8500
+
+// View is the policy as daemons use it: typed, with defaults filled in.
+type View struct {
+	Revision ticket.Revision
+	Services map[ticket.Name]Service
+	Routes   map[ticket.Name]Route
+	Cells    map[ticket.Name]Cell
+	// Limits bound what consumers may send.
+	Limits Limits
+}
+
+// View reads the items. They were checked when they were accepted.
+func (p *Policy) View() *View {
+	v := &View{Revision: p.Revision, Services: map[ticket.Name]Service{},
+		Routes: map[ticket.Name]Route{}, Cells: map[ticket.Name]Cell{}, Limits: NoLimits}
+	for n, it := range p.Services {
+		s := Service{Tier: 5, Capacity: 16, Warm: 10000, Allowance: 10}
+		_ = json.Unmarshal(it.Body, &s)
+		s.Name = n
+		v.Services[n] = s
+	}
+	for n, it := range p.Routes {
+		r := Route{Tier: 5, Limit: 5000, MaxBody: 1 << 20, Attempts: 3}
+		_ = json.Unmarshal(it.Body, &r)
+		r.Name = n
+		v.Routes[n] = r
+	}
+	for _, n := range sorted(p.Limits) {
+		_ = json.Unmarshal(p.Limits[n].Body, &v.Limits)
+	}
+	for n, it := range p.Cells {
+		c := Cell{Target: defaultTarget}
+		_ = json.Unmarshal(it.Body, &c)
+		c.Name = n
+		if c.Maximum == 0 {
+			c.Maximum = c.Target * 1.1
+		}
+		if c.Acceptable == 0 {
+			c.Acceptable = c.Target * 0.8
+		}
+		v.Cells[n] = c
+	}
+	return v
+}
+
+// Know adds what a daemon was told of cells at its start, where policy says
+// nothing of them: that they are there, and their regions.
+func (v *View) Know(regions map[ticket.Name]string) {
+	for n, region := range regions {
+		c, ok := v.Cells[n]
+		if !ok {
+			c = Cell{Name: n, Target: defaultTarget, Acceptable: defaultTarget * 0.8, Maximum: defaultTarget * 1.1}
+		}
+		if c.Region == "" {
+			c.Region = region
+		}
+		v.Cells[n] = c
+	}
+}
+
+// Distance tells how far two cells are apart, as policy says; far if it
+// doesn't, nearer within a region.
+func (v *View) Distance(a, b ticket.Name) float64 {
+	if a == b {
+		return 0
+	}
+	for _, p := range [][2]ticket.Name{{a, b}, {b, a}} {
+		if d, ok := v.Cells[p[0]].Distances[p[1]]; ok {
+			if f, err := d.Float64(); err == nil {
+				return f
+			}
+		}
+	}
+	if r := v.Cells[a].Region; r != "" && r == v.Cells[b].Region {
+		return 1
+	}
+	return 1000
+}
+
+// overlay lays the fields of set over a body.
+func overlay(body, set json.RawMessage) json.RawMessage {
+	m := map[string]json.RawMessage{}
+	_ = json.Unmarshal(body, &m)
+	_ = json.Unmarshal(set, &m)
+	raw, _ := json.Marshal(m)
+	return raw
+}
--- a/internal/counter/agreement.go
+++ b/internal/counter/agreement.go
@@ -46,6 +46,14 @@
 // until is when the lease on it ends. Nothing leaves after that: an accepted
 // change, an emptied cell, a target that left can't wait for us any longer.
 func (c *Control) until() ticket.Tick {
+	if c.Lease == Endless {
+		// Rules with a time bound hold for counters in touch; one that isn't
+		// serves by what it last knew, once it has known anything.
+		if c.view.Revision == 0 || c.word == 0 {
+			return 0
+		}
+		return 1 << 62
+	}
 	if c.sure() <= c.woke {
 		return 0
 	}
--- a/internal/counter/carry.go
+++ b/internal/counter/carry.go
@@ -1,11 +1,8 @@
 package counter
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/base64"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,20 +17,25 @@
 	"dunlinwell/internal/till"
 )
 
-// cargo is a consumer's request, read whole.
-type cargo struct {
-	job    desk.Job
-	method string
-	uri    string
-	header http.Header
-	body   []byte
-	remote string
+// Cargo is a consumer's request, read whole.
+type Cargo struct {
+	Job    desk.Job
+	Method string
+	// URI is the path and query just as they came, and Host the host asked for.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	Remote string
+	// ID is what the target is to echo.
+	ID string
 }
 
 // hops are headers of one circuit; they are not carried on.
 var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect"}
 
-func strip(h http.Header) http.Header {
+// Strip gives the headers that are carried on.
+func Strip(h http.Header) http.Header {
 	out := h.Clone()
 	for _, line := range h.Values("Connection") {
 		for _, name := range strings.Split(line, ",") {
@@ -46,29 +48,18 @@
 	return out
 }
 
-// watch notes whether any byte of a request may have left.
-type watch struct {
-	io.Writer
-	left bool
-}
-
-func (w *watch) Write(p []byte) (int, error) {
-	w.left = true
-	return w.Writer.Write(p)
-}
-
 // requestID is the id that the target echoes.
 func (d *Daemon) requestID(r ticket.Request) string {
 	return fmt.Sprintf("%s-%x-%d", d.Params.Name, uint64(d.self.Start), r)
 }
 
 // carry takes a request to its target, once, and judges what comes back.
-func (d *Daemon) carry(c *cargo, f desk.Ferry) desk.Back {
+func (d *Daemon) carry(c *Cargo, f desk.Ferry) desk.Back {
 	back := desk.Back{ID: f.ID, Turn: f.Turn, How: desk.NotSent}
 	until := time.Now().Add(f.Due.Since(hoist.Now()))
 	var line *circuit
 	if !f.Fresh {
-		line = d.circuits.take(f.Target.Instance)
+		line = d.circuits.take(f.Target.Instance, f.Careful)
 	}
 	if line == nil {
 		var err error
@@ -84,18 +75,9 @@
 		return back
 	}
 	_ = line.SetDeadline(until)
-	w := &watch{Writer: line.Conn}
-	req, err := d.outgoing(c, f)
-	if err != nil {
-		line.Close()
-		back.Why = err.Error()
-		return back
-	}
-	buf := bufio.NewWriterSize(w, 32<<10)
-	if err = req.Write(buf); err == nil {
-		err = buf.Flush()
-	}
-	if w.left {
+	head := d.trade.Outgoing(c, f, f.Due.Since(hoist.Now()))
+	n, err := line.Write(pack(c, f, head))
+	if n > 0 {
 		back.How = desk.Maybe
 	}
 	if err != nil {
@@ -103,81 +85,101 @@
 		back.Why = "sending: " + err.Error()
 		return back
 	}
-	a, again, err := d.sealed(line, req, c, f)
+	v, err := d.sealed(line, c, f)
 	if err != nil {
 		line.Close()
 		back.Why = err.Error()
 		return back
 	}
-	if again {
-		d.circuits.keep(f.Target.Instance, line)
+	if v.Again {
+		d.circuits.keep(f.Target.Instance, line, v.Idle)
 	} else {
 		line.Close()
 	}
-	back.How, back.Response = desk.Sealed, a
+	back.How, back.Response, back.Why = v.How, v.Response, v.Why
+	back.Told, back.Running, back.Waiting, back.Slots = v.Told, v.Running, v.Waiting, v.Slots
 	return back
 }
 
-func (d *Daemon) outgoing(c *cargo, f desk.Ferry) (*http.Request, error) {
-	req, err := http.NewRequest(c.method, "http://"+string(f.Target.Address)+c.uri, bytes.NewReader(c.body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header = strip(c.header)
-	req.Header.Set("Request-Id", d.requestID(f.ID))
-	req.Header.Set("Time-Left", strconv.FormatInt(max(f.Due.Since(hoist.Now()).Milliseconds(), 0), 10))
-	req.Header.Set("Attempt", strconv.FormatUint(uint64(c.job.Attempt), 10))
-	req.Header.Add("X-Forwarded-For", c.remote)
-	return req, nil
+// pack writes a request as it goes out. Method, path and body are the
+// consumer's own, to the byte: nothing is cleaned or encoded anew.
+func pack(c *Cargo, f desk.Ferry, head http.Header) []byte {
+	var b bytes.Buffer
+	b.Grow(1024 + len(c.Body))
+	host := c.Host
+	if host == "" {
+		host = string(f.Target.Address)
+	}
+	b.WriteString(c.Method + " " + c.URI + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	for n, list := range head {
+		for _, v := range list {
+			b.WriteString(n + ": " + v + "\r\n")
+		}
+	}
+	if len(c.Body) > 0 || c.Method == http.MethodPost || c.Method == http.MethodPut || c.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(c.Body)
+	return b.Bytes()
 }
 
-// sealed reads an answer whole and checks its seal: the digest of its body,
-// the request's id and the consumer's mark. Only then may a byte of it go on.
-func (d *Daemon) sealed(line *circuit, req *http.Request, c *cargo, f desk.Ferry) (till.Response, bool, error) {
-	var a till.Response
+// mostOthers bounds the answers to other requests that are read past.
+const mostOthers = 2
+
+// sealed reads an answer whole and lets the trade judge it. Only then may a
+// byte of it go on.
+func (d *Daemon) sealed(line *circuit, c *Cargo, f desk.Ferry) (Verdict, error) {
 	peer := string(f.Target.Address)
-	res, err := http.ReadResponse(line.read, req)
-	if err != nil {
-		return a, false, problem.At(err, "read response", peer)
+	for range mostOthers + 1 {
+		res, err := http.ReadResponse(line.read, &http.Request{Method: c.Method})
+		if err != nil {
+			return Verdict{}, problem.At(err, "read response", peer)
+		}
+		body, err := d.body(res, peer)
+		if err != nil {
+			return Verdict{}, err
+		}
+		v, err := d.trade.Judge(res, body, c, f)
+		if err != nil {
+			return v, problem.At(err, "check response", peer)
+		}
+		if v.Other {
+			// A late answer to an earlier request stood in this one's place.
+			continue
+		}
+		d.meter.target(c.Job.Route, c.Job.Service, res.Header.Values("Server-Timing"))
+		// What was sent beyond the answer belongs to nobody.
+		v.Again = v.Again && !res.Close && line.read.Buffered() == 0
+		return v, nil
 	}
+	return Verdict{}, problem.New("check response", peer, "answers to other requests stand in this one's place")
+}
+
+// body reads an answer's body, whole and within the limit.
+func (d *Daemon) body(res *http.Response, peer string) ([]byte, error) {
 	defer res.Body.Close()
 	limit := d.Params.MaxResponse
+	if res.StatusCode < 200 {
+		return nil, problem.New("check response", peer, "answer of status %d", res.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
 	if err != nil {
-		return a, false, problem.At(err, "read body", peer)
+		return nil, problem.At(err, "read body", peer)
 	}
 	if len(body) > limit {
-		return a, false, problem.New("check response", peer, "answer over the limit of %d bytes", limit)
-	}
-	sum := sha256.Sum256(body)
-	digest := "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
-	switch {
-	case res.StatusCode < 200:
-		return a, false, problem.New("check response", peer, "answer of status %d", res.StatusCode)
-	// The answer to HEAD has no body that a digest could be of.
-	case c.method != http.MethodHead && !hasDigest(res.Header.Get("Content-Digest"), digest):
-		return a, false, problem.New("check response", peer, "answer's seal is missing or broken")
-	case res.Header.Get("Request-Id") != req.Header.Get("Request-Id"):
-		return a, false, problem.New("check response", peer, "answer is for request %q", res.Header.Get("Request-Id"))
-	case !c.job.Repeatable && res.Header.Get("Idempotency-Key") != string(c.job.Mark):
-		return a, false, problem.New("check response", peer, "answer is for mark %q", res.Header.Get("Idempotency-Key"))
-	}
-	a = till.Response{Status: uint16(res.StatusCode), Body: body, Digest: digest}
-	for n, list := range strip(res.Header) {
-		for _, v := range list {
-			a.Header = append(a.Header, till.Header{Name: n, Value: v})
-		}
+		return nil, problem.New("check response", peer, "answer over the limit of %d bytes", limit)
 	}
-	d.meter.target(c.job.Route, c.job.Service, res.Header.Values("Server-Timing"))
-	return a, !res.Close, nil
+	return body, nil
 }
 
-// hasDigest finds the sha-256 entry among the digests of RFC 9530.
-func hasDigest(field, want string) bool {
-	for _, e := range strings.Split(field, ",") {
-		if strings.TrimSpace(e) == want {
-			return true
+// Sealed makes the answer that a target's response is kept and handed on as.
+func Sealed(res *http.Response, body []byte) till.Response {
+	a := till.Response{Status: uint16(res.StatusCode), Body: body}
+	for n, list := range Strip(res.Header) {
+		for _, v := range list {
+			a.Header = append(a.Header, till.Header{Name: n, Value: v})
 		}
 	}
-	return false
+	return a
 }
--- a/internal/counter/carry_test.go
+++ b/internal/counter/carry_test.go
@@ -93,8 +93,8 @@
 
 func (d *Daemon) once(s *stand, fresh, repeatable bool) desk.Back {
 	d.beat.Store(int64(hoist.Now()))
-	c := &cargo{method: "POST", uri: "/x?y=1", body: []byte("{}"), job: desk.Job{ID: 3, Mark: "m", Attempt: 1, Repeatable: repeatable},
-		header: http.Header{"Idempotency-Key": {"m"}, "Connection": {"X-Own"}, "X-Own": {"1"}, "X-Kept": {"2"}}}
+	c := &Cargo{Method: "POST", URI: "/x?y=1", Body: []byte("{}"), Job: desk.Job{ID: 3, Mark: "m", Attempt: 1, Repeatable: repeatable},
+		Header: http.Header{"Idempotency-Key": {"m"}, "Connection": {"X-Own"}, "X-Own": {"1"}, "X-Kept": {"2"}}}
 	return d.carry(c, desk.Ferry{ID: 3, Turn: 1, Fresh: fresh, Due: hoist.Now().Add(5 * time.Second), By: hoist.Now().Add(5 * time.Second),
 		Target: yard.Target{Instance: "t", Service: "s", Incarnation: 4, Address: ticket.Address(s.Addr().String())}})
 }
--- a/internal/counter/circuits.go
+++ b/internal/counter/circuits.go
@@ -35,6 +35,8 @@
 	net.Conn
 	read  *bufio.Reader
 	idled ticket.Tick
+	// usable is how long it may be idle and still be used.
+	usable time.Duration
 }
 
 // circuits keeps idle circuits by target. net/http's Transport is not used
@@ -43,17 +45,29 @@
 	mu   sync.Mutex
 	idle map[ticket.Instance][]*circuit
 	from net.IP
+	// greets: a new circuit first asks its target who it is.
+	greets bool
+	// dialWithin bounds the opening of a circuit.
+	dialWithin time.Duration
 }
 
 const (
-	mostIdle    = 32
-	idleUsable  = 5 * time.Second
-	dialTarget  = time.Second
+	mostIdle   = 32
+	idleUsable = 5 * time.Second
+	dialTarget = time.Second
+	// carefulIdle is how long a circuit may have been idle where what is lost on
+	// a dead one can't be sent again.
+	carefulIdle = 1500 * time.Millisecond
+	// idleMargin is how much sooner than its target a circuit is given up.
+	idleMargin = 1500 * time.Millisecond
+	// ackWithin is how long what was sent may go without the target machine's
+	// own acknowledgement before the circuit counts as dead.
+	ackWithin   = 1200 * time.Millisecond
 	wellKnownIs = 64 << 10
 )
 
 // take gives an idle circuit that is surely still open.
-func (p *circuits) take(id ticket.Instance) *circuit {
+func (p *circuits) take(id ticket.Instance, careful bool) *circuit {
 	for {
 		p.mu.Lock()
 		list := p.idle[id]
@@ -64,7 +78,8 @@
 		c := list[len(list)-1]
 		p.idle[id] = list[:len(list)-1]
 		p.mu.Unlock()
-		if hoist.Now().Since(c.idled) < idleUsable && c.quiet() {
+		idled := hoist.Now().Since(c.idled)
+		if idled < c.usable && !(careful && idled > carefulIdle) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -93,8 +108,11 @@
 }
 
 // keep holds a circuit for later, unless there are enough.
-func (p *circuits) keep(id ticket.Instance, c *circuit) {
-	c.idled = hoist.Now()
+func (p *circuits) keep(id ticket.Instance, c *circuit, idle time.Duration) {
+	c.idled, c.usable = hoist.Now(), idleUsable
+	if idle > 0 {
+		c.usable = max(idle-idleMargin, 0)
+	}
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,7 +133,7 @@
 	for id, list := range p.idle {
 		var stay []*circuit
 		for _, c := range list {
-			if hoist.Now().Since(c.idled) < idleUsable {
+			if hoist.Now().Since(c.idled) < c.usable {
 				stay = append(stay, c)
 			} else {
 				c.Close()
@@ -132,7 +150,11 @@
 // open dials a target and lets it show who it is, on the very circuit that
 // requests will use: a later owner of the address never gets one.
 func (p *circuits) open(ctx context.Context, t yard.Target, until time.Time) (*circuit, error) {
-	d := net.Dialer{Timeout: dialTarget, Deadline: until}
+	d := net.Dialer{Timeout: p.dialWithin, Deadline: until, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, hoist.TCPUserLimit, int(ackWithin/time.Millisecond))
+		})
+	}}
 	if p.from != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.from}
 	}
@@ -141,6 +163,9 @@
 		return nil, problem.At(err, "dial target", string(t.Address))
 	}
 	c := &circuit{Conn: conn, read: bufio.NewReader(conn)}
+	if !p.greets {
+		return c, nil
+	}
 	_ = c.SetDeadline(earlier(until, time.Now().Add(dialTarget)))
 	s, err := c.ask(t)
 	if err == nil && (s.Instance != t.Instance || s.Service != t.Service) {
--- a/internal/counter/control.go
+++ b/internal/counter/control.go
@@ -83,6 +83,9 @@
 	roll    uint64
 	// shelved are the services whose desks were stocked last.
 	shelved []ticket.Name
+	// thaws are until when targets count as cold whatever they said: they were
+	// out of use and may have gone cold since.
+	thaws map[ticket.Name]ticket.Tick
 }
 
 // stamp tells whether anything that desks go by has changed.
@@ -113,8 +116,13 @@
 	// Lease is how long requests are served by a policy and targets that can't
 	// be confirmed.
 	Lease time.Duration
+	Layout
 }
 
+// Endless is the lease of a counter that goes on serving by what it last knew,
+// however long it is cut off.
+const Endless = -1
+
 // New makes a control machine that knows only itself and its seeds.
 func New(p rollcall.Params, o Options) *Control {
 	p.Self.Role = rollcall.Counter
@@ -122,11 +130,13 @@
 		o.Lease = DefaultLease
 	}
 	c := &Control{Options: o, yard: yard.New(), seen: map[ticket.Daemon]ticket.Tick{}}
+	c.yard.Thrifty = o.ByCell
 	c.Roll = rollcall.New(p, &c.Out)
 	c.Asker = ledger.NewAsker(p.Self.Start, &c.Out)
 	c.Asker.Order = c.stores
 	empty, _ := catalogue.Open(nil)
 	c.view = empty.View()
+	c.view.Know(o.Regions)
 	return c
 }
 
@@ -207,7 +217,10 @@
 		return
 	}
 	late := !c.inStep(now)
+	old := c.view
 	c.raw, c.view = raw, p.View()
+	c.view.Know(c.Regions)
+	c.thaw(now, old)
 	switch {
 	case !c.view.Cells[c.Self.Cell].Emptied:
 		c.empty, c.late = 0, false
--- a/internal/counter/daemon.go
+++ b/internal/counter/daemon.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -27,13 +28,20 @@
 	ReportEvery time.Duration `help:"How often CPU time is reported." default:"2s"`
 	Inbox       int           `help:"Longest inbox of a service." default:"128"`
 	Lease       time.Duration `help:"How long requests are served by a policy and targets that can't be confirmed, 2s to 3s." default:"2500ms"`
+	Consumers   string        `help:"Where consumers come in, if not at --http." placeholder:"IP:PORT"`
+	Grace       time.Duration `help:"How long held requests may go on after the polite signal." default:"1700ms"`
+	DialWithin  time.Duration `help:"How long a circuit to a target may take to open." default:"1s"`
+	// Edge is the dialect spoken to consumers and targets; nil for our own.
+	Edge Edge `kong:"-"`
+	// Layout is how targets' places are shared out, and Regions those of cells.
+	Layout `kong:"-"`
 }
 
 // Validate checks what the common params don't cover.
 func (p *Params) Validate() error {
 	// Shorter than a few of the foremen's rounds it would end by itself; longer
 	// a change would be in force too late.
-	if p.Lease < 2*time.Second || p.Lease > 3*time.Second {
+	if p.Lease != Endless && (p.Lease < 2*time.Second || p.Lease > 3*time.Second) {
 		return problem.New("read params", "", "--lease: must be from 2s to 3s")
 	}
 	return p.Common.Validate()
@@ -47,6 +55,9 @@
 	owner    *hoist.Owner
 	post     *hoist.Post
 	circuits circuits
+	trade    Trade
+	edge     Edge
+	gate     *gate
 	meter    *meter
 	router   atomic.Pointer[router]
 	footing  atomic.Pointer[Footing]
@@ -64,10 +75,12 @@
 	mu    sync.Mutex
 	desk  *desk.Desk
 	cargo map[ticket.Request]*ride
+	// soon: a clock event is on its way, for requests that wait.
+	soon bool
 }
 
 type ride struct {
-	*cargo
+	*Cargo
 	response chan desk.Response
 	ferried  time.Duration
 }
@@ -76,13 +89,21 @@
 func NewDaemon(p Params) *Daemon {
 	d := &Daemon{Params: p, log: hoist.NewLog(p.Log, p.Name), meter: newMeter(), desks: map[ticket.Name]*place{}}
 	d.self = premises.Self(p.Common, rollcall.Counter)
-	control := New(rollcall.Params{Self: d.self, Seeds: p.SeedList()}, Options{Lease: p.Lease})
+	d.self.Serves = ticket.Address(p.Consumers)
+	control := New(rollcall.Params{Self: d.self, Seeds: p.SeedList()}, Options{Lease: p.Lease, Layout: p.Layout})
 	d.owner = hoist.NewOwner(&beating{control, d}, 50*time.Millisecond, d.do)
 	d.post = &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: d.log,
 		Deliver: func(from ticket.Address, msg any) { d.owner.Offer(works.Heard{From: from, Msg: msg}) }}
 	if a, err := netip.ParseAddrPort(p.Pages()); err == nil {
 		d.circuits.from = net.IP(a.Addr().AsSlice())
 	}
+	d.edge, d.trade = p.Edge, house{d}
+	if d.edge == nil {
+		d.edge = ownEdge{d}
+	} else {
+		d.trade = d.edge.Trade()
+	}
+	d.circuits.greets, d.circuits.dialWithin = d.trade.Greets(), cmp.Or(p.DialWithin, dialTarget)
 	empty, _ := catalogue.Open(nil)
 	d.router.Store(newRouter(empty.View()))
 	d.footing.Store(&Footing{})
@@ -112,12 +133,18 @@
 		d.hand(c.Service, c.Event)
 	case Routes:
 		d.router.Store(newRouter(c.View))
+		if g := d.gate; g != nil {
+			g.limit(c.View.Limits)
+		}
 	case Footing:
 		d.emptied.Store(c.Emptied)
 		d.footing.Store(&c)
 	}
 }
 
+// waitTick is how often a desk looks again at what waits.
+const waitTick = 15 * time.Millisecond
+
 // at gives a service's desk.
 func (d *Daemon) at(service ticket.Name) *place {
 	d.mu.RLock()
@@ -151,7 +178,19 @@
 			delete(p.cargo, c.ID)
 		}
 	}
+	waits := p.desk.Waiting() > 0 && !p.soon
+	p.soon = p.soon || waits
 	p.mu.Unlock()
+	if waits {
+		// What waits may reach further, or has waited long enough, before the
+		// ordinary clock comes round.
+		time.AfterFunc(waitTick, func() {
+			p.mu.Lock()
+			p.soon = false
+			p.mu.Unlock()
+			d.hand(service, works.ClockEvent{})
+		})
+	}
 	for i, c := range out {
 		d.perform(service, c, loads[i])
 	}
@@ -166,7 +205,7 @@
 	case desk.Ferry:
 		go func() {
 			from := time.Now()
-			back := d.carry(l.cargo, c)
+			back := d.carry(l.Cargo, c)
 			l.ferried += time.Since(from)
 			d.hand(service, back)
 		}()
@@ -175,15 +214,15 @@
 	}
 }
 
-// work takes a request through its desk. A consumer that hangs up, or closes
+// Work takes a request through its desk. A consumer that hangs up, or closes
 // its own side of the circuit, changes nothing: its request goes on, its mark is
 // not freed, and the one answer is written, whether or not anybody reads it.
-func (d *Daemon) work(c *cargo) (desk.Response, time.Duration) {
-	l := &ride{cargo: c, response: make(chan desk.Response, 1)}
-	p := d.at(c.job.Service)
+func (d *Daemon) Work(c *Cargo) (desk.Response, time.Duration) {
+	l := &ride{Cargo: c, response: make(chan desk.Response, 1)}
+	p := d.at(c.Job.Service)
 	p.mu.Lock()
-	p.cargo[c.job.ID] = l
+	p.cargo[c.Job.ID] = l
 	p.mu.Unlock()
-	d.hand(c.job.Service, desk.Arrive{Job: c.job})
+	d.hand(c.Job.Service, desk.Arrive{Job: c.Job})
 	return <-l.response, l.ferried
 }
--- /dev/null
+++ b/internal/counter/edge.go
@@ -0,0 +1,86 @@
+package counter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"dunlinwell/internal/catalogue"
+	"dunlinwell/internal/desk"
+	"dunlinwell/internal/ticket"
+	"dunlinwell/internal/window"
+)
+
+// Edge is the dialect that a counter speaks to consumers and targets. Ours is
+// the first one; a platform that speaks otherwise brings its own.
+type Edge interface {
+	// Consumers answers consumers' requests.
+	Consumers(d *Daemon) http.Handler
+	// Trade is how requests are put to targets.
+	Trade() Trade
+	// Pages are what is served besides, by address.
+	Pages(d *Daemon) map[string]http.Handler
+}
+
+type ownEdge struct{ d *Daemon }
+
+func (e ownEdge) Consumers(d *Daemon) http.Handler    { return http.HandlerFunc(d.consume) }
+func (e ownEdge) Trade() Trade                        { return house{e.d} }
+func (ownEdge) Pages(*Daemon) map[string]http.Handler { return nil }
+
+// Find gives the route of a host and path, and the policy it stands in.
+func (d *Daemon) Find(host, path string) (catalogue.Route, *catalogue.View, bool) {
+	ro := d.router.Load()
+	r, ok := ro.find(host, path)
+	return r, ro.view, ok
+}
+
+// InStep tells whether the counter knows what is in force.
+func (d *Daemon) InStep() bool { return d.footing.Load().InStep }
+
+// Ready tells whether the counter takes new work.
+func (d *Daemon) Ready() bool { return d.footing.Load().Ready && !d.stopping.Load() }
+
+// Stopping tells whether the platform has asked the counter to stop.
+func (d *Daemon) Stopping() bool { return d.stopping.Load() }
+
+// Job begins a request's job by its route; a split is drawn here, once.
+func (d *Daemon) Job(r catalogue.Route, v *catalogue.View) desk.Job {
+	r.Service = r.Draw(rand.Float64())
+	return desk.Job{ID: ticket.Request(d.requests.Add(1)), Route: r.Name, Service: r.Service, Tier: r.Tier*10 + v.Services[r.Service].Tier,
+		Repeatable: r.Repeatable, Single: r.Single, Goal: r.GoalTime(), Attempts: r.Attempts, Homes: r.Homes, Terms: Terms(r)}
+}
+
+// Handled adds a request to the meter: the counter's own handling, and its
+// front-line latency, which leaves the target's time out.
+func (d *Daemon) Handled(c *Cargo, handling, front time.Duration) {
+	d.meter.handled(c.Job.Route, c.Job.Service, handling, front)
+}
+
+// serve serves the daemon's pages and its consumers, until the grace after the
+// polite signal is over or nothing is under way any more.
+func (d *Daemon) serve(ctx context.Context, pages net.Listener) error {
+	if d.Params.Consumers == "" {
+		return window.Serve(ctx, pages, d.pages(true), d.Params.Grace)
+	}
+	in, err := window.Listen(d.Params.Consumers)
+	if err != nil {
+		return err
+	}
+	var all sync.WaitGroup
+	for at, h := range d.edge.Pages(d) {
+		l, err := window.Listen(at)
+		if err != nil {
+			return err
+		}
+		all.Go(func() { _ = window.Serve(ctx, l, h, d.Params.Grace) })
+	}
+	all.Go(func() { _ = window.Serve(ctx, pages, d.pages(false), d.Params.Grace) })
+	d.gate = newGate(in, d.edge.Consumers(d))
+	err = d.gate.serve(ctx, d.Params.Grace)
+	all.Wait()
+	return err
+}
--- a/internal/counter/footing.go
+++ b/internal/counter/footing.go
@@ -1,8 +1,6 @@
 package counter
 
 import (
-	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strconv"
@@ -12,7 +10,6 @@
 	"dunlinwell/internal/desk"
 	"dunlinwell/internal/rollcall"
 	"dunlinwell/internal/ticket"
-	"dunlinwell/internal/yard"
 )
 
 func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
@@ -28,7 +25,9 @@
 	c.Roll.Clock(now)
 	c.Asker.Clock(now)
 	// A foreman that died may have been the only one to know of a silence.
-	c.yard.Lapse(now)
+	if !c.ByCell {
+		c.yard.Lapse(now)
+	}
 	c.yard.Forget(now, time.Hour)
 	c.askPolicy(now)
 	c.inquire(now)
@@ -44,6 +43,9 @@
 // ready tells whether the directory may send consumers here: in step, and not
 // about to fall out of it.
 func (c *Control) ready(now ticket.Tick) bool {
+	if c.Lease == Endless {
+		return !c.stopping && c.inStep(now)
+	}
 	return !c.stopping && c.inStep(now) && !c.cutOff(now) && now.Since(c.sure()) < agreedWithin
 }
 
@@ -98,7 +100,7 @@
 	for _, n := range c.shelved {
 		sv := c.view.Services[n]
 		c.Do(ToDesk{n, desk.Stock{Targets: by[n], Capacity: sv.Capacity, Warm: time.Duration(sv.Warm) * time.Millisecond,
-			Allowance: c.allowance(sv, seats), InStep: s.step, Lease: c.until(), Terms: terms[n], Closed: s.shut, Ended: ended}})
+			Allowance: c.allowance(sv, seats), InStep: s.step || c.Lease == Endless, Lease: c.until(), Terms: terms[n], Closed: s.shut, Ended: ended}})
 	}
 }
 
@@ -106,17 +108,21 @@
 func (c *Control) terms() map[ticket.Name]map[ticket.Name]desk.Terms {
 	out := map[ticket.Name]map[ticket.Name]desk.Terms{}
 	for n, r := range c.view.Routes {
-		if out[r.Service] == nil {
-			out[r.Service] = map[ticket.Name]desk.Terms{}
+		// Each service of a split has terms of its own.
+		for _, s := range r.Services() {
+			if out[s] == nil {
+				out[s] = map[ticket.Name]desk.Terms{}
+			}
+			r.Service = s
+			out[s][n] = Terms(r)
 		}
-		out[r.Service][n] = Terms(r)
 	}
 	return out
 }
 
 // Terms are what a route says of its requests.
 func Terms(r catalogue.Route) desk.Terms {
-	return desk.Terms{Prefix: r.Prefix, Service: r.Service, Repeatable: r.Repeatable, Limit: r.LimitTime()}
+	return desk.Terms{Host: r.Host, Prefix: r.Prefix, Service: r.Service, Repeatable: r.Repeatable, Limit: r.LimitTime()}
 }
 
 // allowance is this counter's part of a service's retry allowance. Parts are
@@ -159,32 +165,6 @@
 	}
 }
 
-// offer works out this counter's seat at a target. Each target has an order
-// of counters of its own, so the odd places fall to different ones.
-func (c *Control) offer(now ticket.Tick, t yard.Target, seats []rollcall.Member) desk.Offer {
-	return desk.Offer{Target: t, At: now, Seats: max(len(seats), 1), Seat: c.seat(string(t.Instance), seats),
-		Distance: c.view.Distance(c.Self.Cell, t.Cell), Emptied: c.view.Cells[t.Cell].Emptied}
-}
-
-// seat is this counter's place in the order of counters for one thing.
-func (c *Control) seat(of string, seats []rollcall.Member) int {
-	own, n := lot(of, c.Self.ID), 0
-	for _, m := range seats {
-		if m.ID != c.Self.ID && cmp.Or(cmp.Compare(lot(of, m.ID), own), cmp.Compare(m.ID, c.Self.ID)) < 0 {
-			n++
-		}
-	}
-	return n
-}
-
-func lot(of string, d ticket.Daemon) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(of))
-	h.Write([]byte{0})
-	h.Write([]byte(d))
-	return h.Sum64()
-}
-
 // MayLeave is the last look before the first byte of a request: time is left,
 // and this process was not asleep since its owner last stepped.
 func MayLeave(now, due, beat ticket.Tick) bool {
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -4,9 +4,11 @@
 	"crypto/sha256"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,22 +24,51 @@
 
 // router finds a request's route by the longest prefix of whole path parts.
 type router struct {
-	tree *iradix.Tree[catalogue.Route]
-	view *catalogue.View
+	// hosts holds a tree for each host; "" is for routes of any host.
+	hosts map[string]*iradix.Tree[catalogue.Route]
+	view  *catalogue.View
 }
 
 func newRouter(v *catalogue.View) *router {
-	t := iradix.New[catalogue.Route]()
-	for _, r := range v.Routes {
-		t, _, _ = t.Insert([]byte(strings.TrimRight(r.Prefix, "/")), r)
+	hosts := map[string]*iradix.Tree[catalogue.Route]{}
+	// In order of name, so that of two routes with one place the first holds.
+	for _, n := range slices.Sorted(maps.Keys(v.Routes)) {
+		r := v.Routes[n]
+		host := strings.ToLower(r.Host)
+		t := hosts[host]
+		if t == nil {
+			t = iradix.New[catalogue.Route]()
+		}
+		key := []byte(strings.TrimRight(r.Prefix, "/"))
+		if _, taken := t.Get(key); !taken {
+			t, _, _ = t.Insert(key, r)
+		}
+		hosts[host] = t
+	}
+	return &router{hosts, v}
+}
+
+// find gives the route of a host and path: that of the host itself, or of any.
+func (r *router) find(host, path string) (catalogue.Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	host = strings.ToLower(host)
+	if t := r.hosts[host]; t != nil && host != "" {
+		if best, ok := longest(t, path); ok {
+			return best, true
+		}
+	}
+	if t := r.hosts[""]; t != nil {
+		return longest(t, path)
 	}
-	return &router{t, v}
+	return catalogue.Route{}, false
 }
 
-func (r *router) find(path string) (catalogue.Route, bool) {
+func longest(t *iradix.Tree[catalogue.Route], path string) (catalogue.Route, bool) {
 	var best catalogue.Route
 	found := false
-	r.tree.Root().WalkPath([]byte(path), func(k []byte, v catalogue.Route) bool {
+	t.Root().WalkPath([]byte(path), func(k []byte, v catalogue.Route) bool {
 		// /stock is no prefix of /stocking.
 		if len(k) == len(path) || path[len(k)] == '/' {
 			best, found = v, true
@@ -71,7 +102,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	ro := d.router.Load()
-	route, ok := ro.find(r.URL.Path)
+	route, ok := ro.find(r.Host, r.URL.Path)
 	if !ok && !d.footing.Load().InStep {
 		// The route may well exist: this counter doesn't know yet.
 		d.early(w, r, "this counter is not in step")
@@ -86,7 +117,7 @@
 		misuse(w, status, why)
 		return
 	}
-	if !route.Repeatable {
+	if !route.Repeatable && !route.Single {
 		w.Header().Set("Mark-Kept", strconv.Itoa(int(till.Kept/time.Second)))
 	}
 	if d.stopping.Load() {
@@ -94,7 +125,7 @@
 		return
 	}
 	before := time.Since(begun)
-	rep, ferried := d.work(c)
+	rep, ferried := d.Work(c)
 	after := time.Now()
 	write(w, r, rep)
 	d.meter.handled(route.Name, route.Service, before+time.Since(after), time.Since(begun)-ferried)
@@ -111,9 +142,8 @@
 }
 
 // read takes the request whole and checks what a consumer must say.
-func (d *Daemon) read(r *http.Request, w http.ResponseWriter, route catalogue.Route, v *catalogue.View) (*cargo, int, string) {
-	j := desk.Job{ID: ticket.Request(d.requests.Add(1)), Route: route.Name, Service: route.Service, Tier: route.Tier*10 + v.Services[route.Service].Tier,
-		Repeatable: route.Repeatable, Terms: Terms(route)}
+func (d *Daemon) read(r *http.Request, w http.ResponseWriter, route catalogue.Route, v *catalogue.View) (*Cargo, int, string) {
+	j := d.Job(route, v)
 	// Two of one header: each reader could take another for the truth.
 	for _, name := range []string{"Idempotency-Key", "Attempt", "Time-Left"} {
 		if len(r.Header.Values(name)) > 1 {
@@ -136,7 +166,7 @@
 		j.Attempt = uint32(n)
 	}
 	j.Mark = ticket.Mark(r.Header.Get("Idempotency-Key"))
-	if !route.Repeatable && !markRule.MatchString(string(j.Mark)) {
+	if !route.Repeatable && !route.Single && !markRule.MatchString(string(j.Mark)) {
 		return nil, http.StatusBadRequest, "this route takes no request without an Idempotency-Key of 1 to 256 printable characters"
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(route.MaxBody)))
@@ -154,7 +184,7 @@
 	j.Print = h.Sum(nil)
 	j.Due = came.Add(limit)
 	host, _, _ := net.SplitHostPort(r.RemoteAddr)
-	return &cargo{job: j, method: r.Method, uri: r.URL.RequestURI(), header: r.Header, body: body, remote: host}, 0, ""
+	return &Cargo{Job: j, Method: r.Method, URI: r.URL.RequestURI(), Header: r.Header, Body: body, Remote: host}, 0, ""
 }
 
 var classes = [...]string{"", "declined", "unknown", "answered", "misused"}
@@ -162,7 +192,7 @@
 // write gives the consumer the one answer.
 func write(w http.ResponseWriter, r *http.Request, rep desk.Response) {
 	if rep.Class != desk.Answered || rep.Sealed.Cut {
-		word(w, rep.Status, classes[rep.Class], rep.Why, rep.Retry)
+		word(w, rep.Status, classes[rep.Class], rep.Why, int((rep.After+time.Second-1)/time.Second))
 		return
 	}
 	for _, h := range rep.Sealed.Header {
--- a/internal/counter/front_test.go
+++ b/internal/counter/front_test.go
@@ -17,11 +17,11 @@
 	r := newRouter(&catalogue.View{Routes: map[ticket.Name]catalogue.Route{
 		"all": {Name: "all", Prefix: "/"}, "stock": {Name: "stock", Prefix: "/stock"}, "tiles": {Name: "tiles", Prefix: "/stock/tiles/"}}})
 	for path, want := range map[string]ticket.Name{"/": "all", "/stock": "stock", "/stock/": "stock", "/stocking": "all", "/stock/tiles": "tiles", "/stock/tiles/9": "tiles", "/stock/tilesets": "stock"} {
-		got, ok := r.find(path)
+		got, ok := r.find("", path)
 		is.True(ok)
 		is.Equal(got.Name, want)
 	}
-	_, ok := newRouter(&catalogue.View{}).find("/x")
+	_, ok := newRouter(&catalogue.View{}).find("", "/x")
 	is.True(!ok)
 }
 
@@ -34,7 +34,7 @@
 		for k, v := range head {
 			r.Header.Set(k, v)
 		}
-		d.pages().ServeHTTP(w, r)
+		d.pages(true).ServeHTTP(w, r)
 		return w
 	}
 	// Not in step: nobody can say yet that there is no such route.
--- /dev/null
+++ b/internal/counter/places.go
@@ -0,0 +1,129 @@
+package counter
+
+import (
+	"cmp"
+	"hash/fnv"
+	"time"
+
+	"dunlinwell/internal/catalogue"
+	"dunlinwell/internal/desk"
+	"dunlinwell/internal/rollcall"
+	"dunlinwell/internal/ticket"
+	"dunlinwell/internal/yard"
+)
+
+// Layout says how targets' places are shared out among counters.
+type Layout struct {
+	// ByCell gives a target's places to the counters of its own cell first;
+	// otherwise all counters of the fleet have equal parts.
+	ByCell bool
+	// Regions are the cells that this daemon was told of, and their regions.
+	Regions map[ticket.Name]string
+}
+
+// offer works out this counter's seat at a target. Each target has an order
+// of counters of its own, so the odd places fall to different ones.
+func (c *Control) offer(now ticket.Tick, t yard.Target, seats []rollcall.Member) desk.Offer {
+	o := desk.Offer{Target: t, At: now, Distance: c.view.Distance(c.Self.Cell, t.Cell),
+		Emptied: c.view.Cells[t.Cell].Emptied || c.view.Cells[t.Cell].Shut, Region: ticket.Name(c.view.Cells[t.Cell].Region)}
+	if !c.ByCell {
+		o.Seats, o.Seat = max(len(seats), 1), c.seat(string(t.Instance), seats)
+		return o
+	}
+	class, peers := c.class(t, seats)
+	o.Seats, o.Seat, o.Over = max(len(peers), 1), c.seat(string(t.Instance), peers), 1
+	if class == 0 {
+		// Two counters or more may each use what the other leaves; a target's own
+		// inbox takes what they send at the same time.
+		o.Over = min(o.Seats, 2)
+	}
+	c.chill(now, t, class, &o)
+	return o
+}
+
+// class tells how near this counter is to a target, as places go, and names the
+// counters of that class: 0 has the target's places, 1 stands in its region
+// and 2 elsewhere, with as many places again for each of the two. Where a cell
+// has no counter the next class takes its part.
+func (c *Control) class(t yard.Target, seats []rollcall.Member) (int, []rollcall.Member) {
+	var by [3][]rollcall.Member
+	for _, m := range seats {
+		n := 2
+		switch d := c.view.Distance(m.Cell, t.Cell); {
+		case d == 0:
+			n = 0
+		case d <= 1:
+			n = 1
+		}
+		by[n] = append(by[n], m)
+	}
+	own := 2
+	switch d := c.view.Distance(c.Self.Cell, t.Cell); {
+	case d == 0:
+		own = 0
+	case d <= 1:
+		own = 1
+	}
+	class := own
+	for n := range own {
+		if len(by[n]) > 0 {
+			return class, by[own]
+		}
+	}
+	return 0, by[own]
+}
+
+// chill bounds what a cold target gets: its rate is shared by those who have
+// its places, and nobody else sends it anything.
+func (c *Control) chill(now ticket.Tick, t yard.Target, class int, o *desk.Offer) {
+	sv := c.view.Services[t.Service]
+	if sv.WarmRate <= 0 {
+		return
+	}
+	o.ColdUntil = max(now.Add(time.Duration(t.Cold)*time.Millisecond), c.thaws[t.Cell])
+	if class == 0 {
+		o.Rate = sv.WarmRate / float64(o.Seats)
+	}
+	// It says itself how long it is cold, so its age tells nothing.
+	o.Age = 1 << 40
+}
+
+// thaw notes cells whose targets are taken back into use: they may have gone
+// cold meanwhile, and their own word on it may still be on its way.
+func (c *Control) thaw(now ticket.Tick, old *catalogue.View) {
+	for n, cell := range c.view.Cells {
+		was := old.Cells[n]
+		if !(was.Shut || was.Emptied) || cell.Shut || cell.Emptied {
+			continue
+		}
+		longest := 0
+		for _, s := range c.view.Services {
+			if s.WarmRate > 0 {
+				longest = max(longest, s.Warm)
+			}
+		}
+		if c.thaws == nil {
+			c.thaws = map[ticket.Name]ticket.Tick{}
+		}
+		c.thaws[n] = now.Add(time.Duration(longest) * time.Millisecond)
+	}
+}
+
+// seat is this counter's place in the order of counters for one thing.
+func (c *Control) seat(of string, seats []rollcall.Member) int {
+	own, n := lot(of, c.Self.ID), 0
+	for _, m := range seats {
+		if m.ID != c.Self.ID && cmp.Or(cmp.Compare(lot(of, m.ID), own), cmp.Compare(m.ID, c.Self.ID)) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func lot(of string, d ticket.Daemon) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(of))
+	h.Write([]byte{0})
+	h.Write([]byte(d))
+	return h.Sum64()
+}
--- a/internal/counter/run.go
+++ b/internal/counter/run.go
@@ -36,7 +36,7 @@
 		d.owner.Put(Stopping{})
 		d.log.Event("info", "stopping")
 	}()
-	err = window.Serve(ctx, pages, d.pages(), 1700*time.Millisecond)
+	err = d.serve(ctx, pages)
 	end()
 	select {
 	case <-done:
@@ -80,7 +80,7 @@
 }
 
 // pages are the counter's own pages; all other paths are consumers'.
-func (d *Daemon) pages() http.Handler {
+func (d *Daemon) pages(consumers bool) http.Handler {
 	m := http.NewServeMux()
 	premises.Health(m, func() (bool, any) {
 		f := d.footing.Load()
@@ -90,7 +90,9 @@
 	m.Handle("/v1/", window.NewFerry(func() []ticket.Address {
 		return premises.Foremen(d.footing.Load().Members, d.self.Cell)
 	}))
-	m.HandleFunc("/", d.consume)
+	if consumers {
+		m.Handle("/", d.edge.Consumers(d))
+	}
 	return m
 }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -11,98 +11,6 @@
 	"dunlinwell/internal/ticket"
 	"dunlinwell/internal/till"
 	"dunlinwell/internal/works"
-	"dunlinwell/internal/yard"
-)
-
-// Job is a consumer's request as the desk knows it.
-type Job struct {
-	ID         ticket.Request
-	Route      ticket.Name
-	Service    ticket.Name
-	Tier       int
-	Repeatable bool
-	Mark       ticket.Mark
-	Attempt    uint32
-	Print      []byte
-	Due        ticket.Tick
-	// Terms are what the route said when the request was taken.
-	Terms Terms
-}
-
-// Class of an answer; the three are never mixed.
-type Class uint8
-
-// Declined: surely not run and will not. Unknown: may have run. Answered: a
-// target's whole, sealed answer. Misused: the consumer's own mistake.
-const (
-	Declined Class = iota + 1
-	Unknown
-	Answered
-	Misused
-)
-
-// How a ferried request came back.
-type How uint8
-
-// NotSent: no byte left. Maybe: some did, and no sealed answer came.
-const (
-	NotSent How = iota + 1
-	Maybe
-	Sealed
-)
-
-// Events.
-type (
-	// Arrive is a new request.
-	Arrive struct{ Job Job }
-	// Told is what came of a wish about a mark.
-	Told struct {
-		ID    ticket.Request
-		Turn  uint32
-		State ledger.State
-		Out   []byte
-	}
-	// Back is a ferried request that ended.
-	Back struct {
-		ID       ticket.Request
-		Turn     uint32
-		How      How
-		Response till.Response
-		Why      string
-	}
-)
-
-// Commands.
-type (
-	// Wish asks for an operation on a mark; a Turn of zero wants no word back.
-	Wish struct {
-		ID   ticket.Request
-		Turn uint32
-		Key  ticket.Key
-		Op   ledger.Op
-		Wish till.Wish
-		Wait time.Duration
-	}
-	// Ferry carries a request to a target, once.
-	Ferry struct {
-		ID     ticket.Request
-		Turn   uint32
-		Target yard.Target
-		Due    ticket.Tick
-		// By is the last moment at which its first byte may leave.
-		By ticket.Tick
-		// Fresh asks for a new circuit, whose target has just shown who it is.
-		Fresh bool
-	}
-	// Response is the consumer's answer.
-	Response struct {
-		ID     ticket.Request
-		Class  Class
-		Status int
-		Why    string
-		Retry  int
-		Sealed till.Response
-	}
 )
 
 type phase uint8
@@ -120,9 +28,11 @@
 
 type job struct {
 	Job
-	phase  phase
-	turn   uint32
-	tries  int
+	phase phase
+	turn  uint32
+	tries int
+	// sends counts the targets that it was sent to.
+	sends  int
 	target ticket.Instance
 	avoid  map[ticket.Instance]bool
 	// claimed: a claim was asked for and may stand.
@@ -137,6 +47,9 @@
 	response till.Response
 }
 
+// marked tells whether a register keeps the job to one run.
+func (j *job) marked() bool { return !j.Repeatable && !j.Single }
+
 // Params are the options of a desk.
 type Params struct {
 	Self  till.Owner
@@ -195,6 +108,9 @@
 	return d.Take()
 }
 
+// Waiting counts the requests in the inbox.
+func (d *Desk) Waiting() int { return len(d.inbox) }
+
 // Busy counts the requests in hand.
 func (d *Desk) Busy() int { return len(d.jobs) }
 
@@ -204,7 +120,7 @@
 	d.Tally.Arrived++
 	switch {
 	case j.Attempt > 0:
-	case j.Repeatable:
+	case j.Repeatable, j.Single:
 		j.Attempt = 1
 	default:
 		// Without a number of its own, this attempt could not be told from
@@ -213,7 +129,7 @@
 		return
 	}
 	// A repeat may find that it has run: that comes before any decline.
-	if !j.Repeatable && j.Attempt > 1 {
+	if j.marked() && j.Attempt > 1 {
 		d.look(now, j)
 		return
 	}
--- a/internal/desk/endings.go
+++ b/internal/desk/endings.go
@@ -24,18 +24,18 @@
 }
 
 func (d *Desk) unknown(now ticket.Tick, j *job, status int, why string) {
-	retry := 0
+	after := time.Duration(0)
 	if j.Repeatable {
-		retry = 1
+		after = time.Second
 	}
-	d.respond(now, j, Response{Class: Unknown, Status: status, Why: why, Retry: retry})
+	d.respond(now, j, Response{Class: Unknown, Status: status, Why: why, After: after})
 }
 
 // decline gives a job up that surely has not run. A later attempt must first
 // bar the earlier ones, or one of them might still run after this answer.
 func (d *Desk) decline(now ticket.Tick, j *job, why string) {
 	d.free(now, j)
-	if !j.Repeatable && j.Attempt > 1 {
+	if j.marked() && j.Attempt > 1 {
 		j.why = why
 		d.wish(now, j, till.OpBar, barring, 500*time.Millisecond)
 		return
@@ -43,7 +43,17 @@
 	if j.claimed {
 		d.Do(Wish{Key: till.Key(j.Route, j.Mark), Op: till.OpRelease, Wish: d.words(j), Wait: 10 * time.Second})
 	}
-	d.respond(now, j, Response{Class: Declined, Status: 503, Why: why, Retry: 1})
+	d.respond(now, j, Response{Class: Declined, Status: 503, Why: why, After: d.after(now, j)})
+}
+
+// after is when a declined consumer should come back: when a place is likely,
+// by what waits now. Without a goal there is no telling how soon is soon.
+func (d *Desk) after(now ticket.Tick, j *job) time.Duration {
+	if j.Goal == 0 {
+		return time.Second
+	}
+	wait := time.Duration(len(d.inbox)+1) * d.mean / time.Duration(max(d.places(now), 1))
+	return min(max(wait, j.Goal/8), time.Second)
 }
 
 // repeated answers with the outcome of the run that there was.
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -24,7 +24,11 @@
 		d.decline(now, j, why)
 		return
 	}
-	j.phase, j.since = inInbox, now
+	j.phase = inInbox
+	// One that comes back from a target has waited before.
+	if j.since == 0 {
+		j.since = now
+	}
 	at, _ := slices.BinarySearchFunc(d.inbox, j, before)
 	d.inbox = slices.Insert(d.inbox, at, j)
 	d.drain(now)
@@ -44,9 +48,19 @@
 	}
 }
 
-// longest is how long a request may expect to wait in the inbox.
+// longest is how long a request may expect to wait in the inbox, where its
+// route names no goal.
 const longest = time.Second
 
+// patience is how long a request may wait in the inbox. A quarter of the goal
+// leaves its consumer time for another try that is still worth most.
+func (j *job) patience() time.Duration {
+	if j.Goal == 0 {
+		return longest
+	}
+	return min(j.Goal/4, longest)
+}
+
 // hopeless tells why a request at a place in the inbox won't make it, if so.
 func (d *Desk) hopeless(now ticket.Tick, j *job, at, places int) string {
 	wait := time.Duration(at+1) * d.mean / time.Duration(max(places, 1))
@@ -54,7 +68,7 @@
 	case places == 0:
 		return "no target takes work now"
 	// However short the way looks: more urgent ones may keep overtaking it.
-	case wait > longest || now.Since(j.since) > longest || now.Add(wait+d.mean) > j.Due:
+	case wait > j.patience() || now.Since(j.since) > j.patience() || now.Add(wait+d.mean) > j.Due:
 		return "no place in the time left"
 	}
 	return ""
@@ -101,8 +115,9 @@
 		}
 		s := d.pick(now, j)
 		if s == nil {
-			// Others of this inbox may still find a place that j avoids.
-			if len(j.avoid) == 0 {
+			// Others of this inbox may still find a place that j avoids, or that
+			// isn't among its homes, or that it has not waited long enough for.
+			if len(j.avoid) == 0 && len(j.Homes) == 0 && j.Goal == 0 {
 				return
 			}
 			i++
@@ -110,7 +125,7 @@
 		}
 		d.withdraw(j)
 		j.target = s.Instance
-		s.busy++
+		s.take(now)
 		d.placed(now, j)
 	}
 }
@@ -118,7 +133,7 @@
 // placed goes on with a job that holds a place.
 func (d *Desk) placed(now ticket.Tick, j *job) {
 	switch {
-	case j.Repeatable:
+	case !j.marked():
 		d.ferry(now, j)
 	default:
 		// After a place that came to nothing the claim may stand, but is asked
@@ -132,6 +147,7 @@
 func (d *Desk) free(now ticket.Tick, j *job) {
 	if s := d.spots[j.target]; s != nil && j.target != "" {
 		s.busy--
+		s.turn = now
 		if s.out && s.busy <= 0 {
 			delete(d.spots, j.target)
 		}
--- a/internal/desk/places.go
+++ b/internal/desk/places.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -39,13 +38,15 @@
 	Seat, Seats int
 	Distance    float64
 	Emptied     bool
-}
-
-type spot struct {
-	Offer
-	busy int
-	rest ticket.Tick
-	out  bool
+	// Over is how many times the target's places are given out among the seats:
+	// its own small inbox takes what comes at the same time. 0 is once.
+	Over int
+	// Region is where the target stands.
+	Region ticket.Name
+	// ColdUntil and Rate bound a cold target: until then it gets Rate requests a
+	// second from this counter, and none where that is 0.
+	ColdUntil ticket.Tick
+	Rate      float64
 }
 
 func (d *Desk) restock(now ticket.Tick, s Stock) {
@@ -80,80 +81,6 @@
 // coldest is the share of its capacity that a target gets as it comes back.
 const coldest = 0.2
 
-// share is how many requests this counter may have at a target at once. The
-// seats' shares add up to the whole exactly, so the fleet's sum can't pass it.
-func (d *Desk) share(now ticket.Tick, o Offer) int {
-	capacity := float64(o.Capacity)
-	if capacity == 0 {
-		capacity = float64(d.stock.Capacity)
-	}
-	warm := o.Warmth
-	if d.stock.Warm > 0 {
-		// Back from a restart it starts cold and ramps, whatever it says.
-		age := time.Duration(o.Age)*time.Millisecond + now.Since(o.At)
-		warm = min(warm, max(coldest, float64(age)/float64(d.stock.Warm)))
-	}
-	bears := int(math.Max(1, capacity*warm))
-	n := max(o.Seats, 1)
-	return bears*(o.Seat+1)/n - bears*o.Seat/n
-}
-
-// fit tells whether new work may go to a target at all.
-func (d *Desk) fit(s *spot) bool {
-	return !s.out && s.Usable() && !s.Emptied
-}
-
-// places counts what the fit targets could bear from this counter.
-func (d *Desk) places(now ticket.Tick) int {
-	n := 0
-	for _, s := range d.list {
-		if d.fit(s) {
-			n += d.share(now, s.Offer)
-		}
-	}
-	return n
-}
-
-// pick chooses a target with a free place: the nearest cell that has one, and
-// there the less occupied of two drawn at random.
-func (d *Desk) pick(now ticket.Tick, j *job) *spot {
-	best, rested := d.best[:0], false
-	fresh := len(j.avoid) == 0 || slices.ContainsFunc(d.list, func(s *spot) bool { return d.fit(s) && !j.avoid[s.Instance] })
-	for _, s := range d.list {
-		// Where all were tried, the same one may be tried again.
-		if (fresh && j.avoid[s.Instance]) || !d.fit(s) || s.busy >= d.share(now, s.Offer) {
-			continue
-		}
-		// One that just had a problem rests while there is another.
-		r := now >= s.rest
-		switch {
-		case len(best) == 0 || (r && !rested) || (r == rested && s.Distance < best[0].Distance):
-			best, rested = append(best[:0], s), r
-		case r == rested && s.Distance == best[0].Distance:
-			best = append(best, s)
-		}
-	}
-	d.best = best
-	if len(best) == 0 {
-		return nil
-	}
-	a, b := best[d.Dice.IntN(len(best))], best[d.Dice.IntN(len(best))]
-	if d.occupancy(now, b) < d.occupancy(now, a) {
-		return b
-	}
-	return a
-}
-
-// occupancy is the fuller of what this counter has there and what the target
-// says of itself.
-func (d *Desk) occupancy(now ticket.Tick, s *spot) float64 {
-	own := float64(s.busy) / float64(max(d.share(now, s.Offer), 1))
-	if s.Capacity > 0 {
-		own = max(own, float64(s.Occupancy)/float64(s.Capacity))
-	}
-	return own
-}
-
 // budget bounds retries. A bucket rather than a sliding window: over any span
 // at all, retries are at most a fifth of the first requests plus the depth,
 // while a window counted back from each retry lets a later span pass that.
--- /dev/null
+++ b/internal/desk/spot.go
@@ -0,0 +1,219 @@
+package desk
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"dunlinwell/internal/ticket"
+)
+
+// spot is a target as this desk uses it.
+type spot struct {
+	Offer
+	busy int
+	rest ticket.Tick
+	out  bool
+	// turn is when a request last came back from it, or the first of those now
+	// there went: silence is counted from then.
+	turn ticket.Tick
+	// tokens and filled are the bucket that bounds it while it is cold.
+	tokens float64
+	filled ticket.Tick
+	// full is how full the target last said it is, beyond its slots, and when.
+	load   float64
+	loadAt ticket.Tick
+}
+
+// take notes a request that goes there.
+func (s *spot) take(now ticket.Tick) {
+	if s.busy == 0 {
+		s.turn = now
+	}
+	s.busy++
+	if now < s.ColdUntil {
+		s.tokens--
+	}
+}
+
+const (
+	// restFor is how long a target that had a problem is left alone while there
+	// is another; one that was merely full is soon good again.
+	restFor     = time.Second
+	restFull    = 100 * time.Millisecond
+	restForeign = 10 * time.Second
+	// loadFor is how long a target's word on its load is gone by.
+	loadFor = time.Second
+)
+
+// came notes how a request came back.
+func (s *spot) came(now ticket.Tick, e Back) {
+	switch e.How {
+	case NotSent, Maybe:
+		s.rest = now.Add(restFor)
+	case NotRun:
+		s.rest = now.Add(restFull)
+	case Foreign:
+		s.rest = now.Add(restForeign)
+	}
+	if e.Told && e.Slots > 0 {
+		s.load, s.loadAt = float64(e.Running+e.Waiting)/float64(e.Slots), now
+	}
+}
+
+// silent tells whether a target has held requests for long without a word. It
+// may just be slow, so it is only left alone while there is another.
+func (s *spot) silent(now ticket.Tick, mean time.Duration) bool {
+	return s.busy > 0 && now.Since(s.turn) > max(4*mean, 400*time.Millisecond)
+}
+
+// warm tells whether a target may get one more by its rate, if it is cold.
+func (s *spot) warm(now ticket.Tick) bool {
+	if now >= s.ColdUntil {
+		return true
+	}
+	if s.Rate <= 0 {
+		return false
+	}
+	if s.filled == 0 {
+		s.tokens = 1
+	} else {
+		s.tokens = min(s.tokens+now.Since(s.filled).Seconds()*s.Rate, 1)
+	}
+	s.filled = now
+	return s.tokens >= 1
+}
+
+// share is how many requests this counter may have at a target at once. The
+// seats' shares add up to the whole exactly, so the fleet's sum can't pass it.
+func (d *Desk) share(now ticket.Tick, o Offer) int {
+	capacity := float64(o.Capacity)
+	if capacity == 0 {
+		capacity = float64(d.stock.Capacity)
+	}
+	warm := o.Warmth
+	if d.stock.Warm > 0 {
+		// Back from a restart it starts cold and ramps, whatever it says.
+		age := time.Duration(o.Age)*time.Millisecond + now.Since(o.At)
+		warm = min(warm, max(coldest, float64(age)/float64(d.stock.Warm)))
+	}
+	bears := int(math.Max(1, capacity*warm)) * max(o.Over, 1)
+	n := max(o.Seats, 1)
+	return bears*(o.Seat+1)/n - bears*o.Seat/n
+}
+
+// fit tells whether new work may go to a target at all.
+func (d *Desk) fit(s *spot) bool {
+	return !s.out && s.Usable() && !s.Emptied
+}
+
+// places counts what the fit targets could bear from this counter.
+func (d *Desk) places(now ticket.Tick) int {
+	n := 0
+	for _, s := range d.list {
+		if d.fit(s) && (now >= s.ColdUntil || s.Rate > 0) {
+			n += d.share(now, s.Offer)
+		}
+	}
+	return n
+}
+
+// home tells whether a job may be served where a target stands.
+func (j *job) home(s *spot) bool {
+	return len(j.Homes) == 0 || slices.Contains(j.Homes, s.Region)
+}
+
+// far are the shares of its goal that a job waits for a place nearby before it
+// takes one in the same region, and one in another.
+const (
+	nearWait = 0.04
+	farWait  = 0.15
+)
+
+// reach is how far a job may go by now. The way to another cell costs time and
+// bytes that a short wait for a place of its own doesn't; where there is no
+// nearer place at all there is nothing to wait for.
+func (d *Desk) reach(now ticket.Tick, j *job) float64 {
+	if j.Goal == 0 {
+		return math.Inf(1)
+	}
+	own, near := false, false
+	for _, s := range d.list {
+		if d.fit(s) && j.home(s) && now >= s.ColdUntil && now >= s.rest && !s.silent(now, d.mean) && d.share(now, s.Offer) > 0 {
+			own = own || s.Distance == 0
+			near = near || s.Distance <= 1
+		}
+	}
+	waited := float64(now.Since(j.since)) / float64(j.Goal)
+	switch {
+	case own && waited < nearWait:
+		return 0
+	case near && waited < farWait:
+		return 1
+	}
+	return math.Inf(1)
+}
+
+// pick chooses a target with a free place: the nearest cell that has one, and
+// there the less occupied of two drawn at random.
+func (d *Desk) pick(now ticket.Tick, j *job) *spot {
+	best, rested := d.best[:0], false
+	fresh := len(j.avoid) == 0 || slices.ContainsFunc(d.list, func(s *spot) bool { return d.fit(s) && !j.avoid[s.Instance] })
+	reach := d.reach(now, j)
+	for _, s := range d.list {
+		// Where all were tried, the same one may be tried again.
+		if (fresh && j.avoid[s.Instance]) || !d.fit(s) || s.Distance > reach || s.busy >= d.share(now, s.Offer) || !j.home(s) || !s.warm(now) {
+			continue
+		}
+		// One that just had a problem rests while there is another.
+		r := now >= s.rest && !s.silent(now, d.mean)
+		switch {
+		case len(best) == 0 || (r && !rested) || (r == rested && s.Distance < best[0].Distance):
+			best, rested = append(best[:0], s), r
+		case r == rested && s.Distance == best[0].Distance:
+			best = append(best, s)
+		}
+	}
+	d.best = best
+	if len(best) == 0 {
+		return nil
+	}
+	if j.Goal > 0 {
+		return d.least(now, best)
+	}
+	a, b := best[d.Dice.IntN(len(best))], best[d.Dice.IntN(len(best))]
+	if d.occupancy(now, b) < d.occupancy(now, a) {
+		return b
+	}
+	return a
+}
+
+// least gives the least occupied of a cell's few targets; of equals, any.
+func (d *Desk) least(now ticket.Tick, list []*spot) *spot {
+	var out *spot
+	low, same := 0.0, 0
+	for _, s := range list {
+		switch o := d.occupancy(now, s); {
+		case out == nil || o < low:
+			out, low, same = s, o, 1
+		case o == low:
+			if same++; d.Dice.IntN(same) == 0 {
+				out = s
+			}
+		}
+	}
+	return out
+}
+
+// occupancy is the fuller of what this counter has there and what the target
+// says of itself.
+func (d *Desk) occupancy(now ticket.Tick, s *spot) float64 {
+	own := float64(s.busy) / float64(max(d.share(now, s.Offer), 1))
+	if s.Capacity > 0 {
+		own = max(own, float64(s.Occupancy)/float64(s.Capacity))
+	}
+	if s.loadAt != 0 && now.Since(s.loadAt) < loadFor {
+		own = max(own, s.load)
+	}
+	return own
+}
--- a/internal/desk/steps.go
+++ b/internal/desk/steps.go
@@ -116,7 +116,7 @@
 	default:
 		// Barred: a later attempt was told that this one will never run.
 		j.claimed = false
-		d.respond(now, j, Response{Class: Declined, Status: 503, Why: "given up in favour of a later attempt", Retry: 1})
+		d.respond(now, j, Response{Class: Declined, Status: 503, Why: "given up in favour of a later attempt", After: time.Second})
 	}
 }
 
@@ -126,7 +126,7 @@
 	case e.State != ledger.Done || !ok:
 		d.unknown(now, j, 504, j.why+"; whether an earlier attempt ran isn't known")
 	case r.Verdict == till.Free:
-		d.respond(now, j, Response{Class: Declined, Status: 503, Why: j.why, Retry: 1})
+		d.respond(now, j, Response{Class: Declined, Status: 503, Why: j.why, After: time.Second})
 	case r.Verdict == till.Ended:
 		d.repeated(now, j, r.Slip.Response)
 	case r.Verdict == till.Unlike:
@@ -166,10 +166,11 @@
 		}
 	}
 	j.phase = ferrying
+	j.sends++
 	j.turn++
 	j.placed = now
 	d.Tally.Ferried++
-	d.Do(Ferry{ID: j.ID, Turn: j.turn, Target: s.Target, Due: j.Due, By: min(j.Due, d.lease), Fresh: !j.Repeatable})
+	d.Do(Ferry{ID: j.ID, Turn: j.turn, Target: s.Target, Due: j.Due, By: min(j.Due, d.lease), Fresh: j.marked(), Careful: j.Single})
 }
 
 // back takes a ferried request's end.
@@ -181,8 +182,9 @@
 	s := d.spots[j.target]
 	if e.How == Sealed {
 		d.mean += (now.Since(j.placed) - d.mean) / 8
-	} else if s != nil {
-		s.rest = now.Add(time.Second)
+	}
+	if s != nil {
+		s.came(now, e)
 	}
 	j.avoid[j.target] = true
 	d.free(now, j)
@@ -191,20 +193,25 @@
 		j.earned, j.counted = false, false
 	}
 	switch {
-	case e.How == Sealed && j.Repeatable:
+	case e.How == Sealed && !j.marked():
 		d.respond(now, j, Response{Class: Answered, Status: int(e.Response.Status), Sealed: e.Response})
 	case e.How == Sealed:
 		j.response = e.Response
 		d.wish(now, j, till.OpOutcome, settling, 500*time.Millisecond)
 	case e.How == NotSent:
 		// Nothing left, so another target may have it, and no retry is spent.
+		j.sends--
 		if j.tries++; j.tries > 3 {
 			d.decline(now, j, "no target could be reached: "+e.Why)
 			return
 		}
 		d.admit(now, j)
+	case e.How == NotRun || e.How == Foreign:
+		d.turnedAway(now, j, e)
 	case j.Repeatable:
 		d.retry(now, j, e)
+	case j.Single:
+		d.unknown(now, j, status(now, j), "may have run: "+e.Why)
 	default:
 		// Final: a repeat learns at once that nobody will ever know more.
 		j.response = till.Response{Status: 504, Cut: true}
@@ -214,16 +221,6 @@
 	d.drain(now)
 }
 
-// retry sends a repeatable request again, within the budget and the time.
-func (d *Desk) retry(now ticket.Tick, j *job, e Back) {
-	if j.tries++; j.tries > 2 || now.Add(d.mean) >= j.Due || !d.budget.spend() {
-		d.unknown(now, j, status(now, j), "given up: "+e.Why)
-		return
-	}
-	d.Tally.Retried++
-	d.admit(now, j)
-}
-
 func (d *Desk) settled(now ticket.Tick, j *job) {
 	d.respond(now, j, Response{Class: Answered, Status: int(j.response.Status), Sealed: j.response})
 }
--- a/internal/desk/trace_test.go
+++ b/internal/desk/trace_test.go
@@ -199,7 +199,7 @@
 		}
 		return fmt.Sprintf("ferry %d to %s%s", c.ID, c.Target.Instance, fresh)
 	case Response:
-		return fmt.Sprintf("reply %d %s %d %q retry=%d %s", c.ID, []string{"", "declined", "unknown", "answered", "misused"}[c.Class], c.Status, c.Why, c.Retry, c.Sealed.Body)
+		return fmt.Sprintf("reply %d %s %d %q retry=%d %s", c.ID, []string{"", "declined", "unknown", "answered", "misused"}[c.Class], c.Status, c.Why, c.After/time.Second, c.Sealed.Body)
 	}
 	return fmt.Sprintf("%T", c)
 }
--- a/internal/desk/withheld.go
+++ b/internal/desk/withheld.go
@@ -12,6 +12,7 @@
 // Terms are what a route says of its requests. A request taken by others than
 // those in force by now doesn't leave.
 type Terms struct {
+	Host       string
 	Prefix     string
 	Service    ticket.Name
 	Repeatable bool
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -26,11 +26,23 @@
 		ID    uint64
 		Local bool
 	}
-	// WhereCall asks where a fresh circuit should go.
+	// MergeCall asks for items to be merged whose versions their caller gave.
+	MergeCall struct {
+		ID   uint64
+		Body catalogue.Merging
+	}
+	// WhereCall asks where a fresh circuit should go: for a route, or for all
+	// routes of a host, known or not.
 	WhereCall struct {
 		ID    uint64
 		Cell  ticket.Name
 		Route ticket.Name
+		Host  string
+	}
+	// GoneCall is a target's word that it ends.
+	GoneCall struct {
+		ID       uint64
+		Instance ticket.Instance
 	}
 	// AnnounceCall is a target's word.
 	AnnounceCall struct {
@@ -63,6 +75,10 @@
 	switch c := ev.(type) {
 	case ChangeCall:
 		f.change(now, c)
+	case MergeCall:
+		f.merge(now, c)
+	case GoneCall:
+		f.gone(now, c)
 	case PolicyCall:
 		f.policyCall(now, c)
 	case WhereCall:
@@ -85,15 +101,33 @@
 		f.Do(Response{ID: c.ID, Status: 400, Body: catalogue.Result{ID: ch.ID, Faults: faults}})
 		return
 	}
-	f.Asker.Want(now, catalogue.Key, catalogue.OpChange, c.Raw, callWait, func(_ ticket.Tick, s ledger.State, out []byte) {
+	f.agree(now, c.ID, catalogue.OpChange, c.Raw)
+}
+
+func (f *Foreman) merge(now ticket.Tick, c MergeCall) {
+	if faults := c.Body.Check(); len(faults) > 0 {
+		f.Do(Response{ID: c.ID, Status: 400, Body: catalogue.Result{Faults: faults}})
+		return
+	}
+	raw, err := json.Marshal(c.Body)
+	if err != nil {
+		f.Do(Response{ID: c.ID, Status: 400, Body: Word{err.Error()}})
+		return
+	}
+	f.agree(now, c.ID, catalogue.OpMerge, raw)
+}
+
+// agree has a change of the policy agreed on, and answers its caller.
+func (f *Foreman) agree(now ticket.Tick, id uint64, op ledger.Op, raw []byte) {
+	f.Asker.Want(now, catalogue.Key, op, raw, callWait, func(_ ticket.Tick, s ledger.State, out []byte) {
 		var r catalogue.Result
 		switch {
 		case s == ledger.Declined:
-			f.unreached(c.ID)
+			f.unreached(id)
 		case s != ledger.Done || json.Unmarshal(out, &r) != nil:
-			f.Do(Response{ID: c.ID, Status: 504, Body: Word{"uncertain: the change may have been accepted; send it again under the same id"}, Retry: 1})
+			f.Do(Response{ID: id, Status: 504, Body: Word{"uncertain: the change may have been accepted; send it again under the same id"}, Retry: 1})
 		default:
-			f.Do(Response{ID: c.ID, Status: statusOf(r), Body: r})
+			f.Do(Response{ID: id, Status: statusOf(r), Body: r})
 		}
 	})
 }
@@ -129,28 +163,6 @@
 	})
 }
 
-// Where is the body of an answer to "where do I go".
-type Where struct {
-	Cell     ticket.Name      `json:"cell"`
-	Counters []ticket.Address `json:"counters"`
-	Lifetime int64            `json:"lifetime_ms"`
-	Moved    bool             `json:"moved"`
-}
-
-func (f *Foreman) where(now ticket.Tick, c WhereCall) {
-	if _, ok := f.view.Routes[c.Route]; !ok {
-		f.Do(Response{ID: c.ID, Status: 404, Body: Word{"there is no route " + string(c.Route)}})
-		return
-	}
-	w, ok := f.sight(now).Point(c.Cell, c.Route, f.params.Dice)
-	if !ok {
-		f.Do(Response{ID: c.ID, Status: 503, Body: Word{"no counter takes work now"}, Retry: 1})
-		return
-	}
-	f.Do(Response{ID: c.ID, Status: 200, Body: Where{Cell: w.Cell, Counters: w.Counters,
-		Lifetime: f.params.Lifetime.Milliseconds(), Moved: w.Moved}})
-}
-
 // sightFor is how long a sight is used again: drawing up every cell for each
 // ask would cost more than the answer.
 const sightFor = 50 * time.Millisecond
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -24,6 +24,13 @@
 	Dice      *rand.Rand
 	PlanEvery time.Duration
 	Lifetime  time.Duration
+	// Regions are the cells that this daemon was told of, and their regions.
+	Regions map[ticket.Name]string
+	// Thrifty: targets are told of only as something changes, and foremen keep
+	// one another up to date on who is there.
+	Thrifty bool
+	// Always: the directory names somebody wherever it knows anybody.
+	Always bool
 }
 
 func (p *Params) fill() {
@@ -60,6 +67,9 @@
 	seenAt  ticket.Tick
 	// partings are targets that wait to hear that they may stop.
 	partings []parting
+	// beats are the targets that told this foreman something since it last
+	// shared.
+	beats map[ticket.Instance]yard.Target
 
 	plans
 }
@@ -69,6 +79,7 @@
 	p.fill()
 	p.Self.Role = rollcall.Foreman
 	f := &Foreman{params: p, Yard: yard.New(), Books: haulage.NewBooks()}
+	f.Yard.Thrifty = p.Thrifty
 	f.Roll = rollcall.New(p.Params, &f.Out)
 	f.Roll.MayJudge = func(now ticket.Tick) bool { return f.age(now) < judgeWithin }
 	f.Asker = ledger.NewAsker(p.Self.Start, &f.Out)
@@ -76,6 +87,7 @@
 	f.Rounds = rounds.New(p.Self.Start, &f.Out)
 	f.policy, _ = catalogue.Open(nil)
 	f.view = f.policy.View()
+	f.view.Know(p.Regions)
 	f.plans = newPlans()
 	return f
 }
@@ -135,7 +147,7 @@
 	}
 	if now >= f.share {
 		f.share = now.Add(shareEvery)
-		f.tellForemen(f.Yard.All(now))
+		f.shareTargets(now)
 	}
 	f.deliver(now)
 	f.part(now)
@@ -167,6 +179,7 @@
 		return
 	}
 	f.policy, f.view, f.raw = p, p.View(), p.Pack(false)
+	f.view.Know(f.params.Regions)
 	f.Say("info", "policy", "revision", itoa(uint64(p.Revision)))
 }
 
--- a/internal/haulage/report.go
+++ b/internal/haulage/report.go
@@ -206,3 +206,21 @@
 	}
 	return sum
 }
+
+// Draw picks one of some routes by what each uses in a cell, with a draw from 0
+// up to 1; the first where nothing is known.
+func (b *Books) Draw(cell ticket.Name, routes []ticket.Name, draw float64) ticket.Name {
+	if len(routes) == 0 {
+		return ""
+	}
+	sum := 0.0
+	for _, n := range routes {
+		sum += b.demand[cell][n]
+	}
+	for _, n := range routes {
+		if draw -= b.demand[cell][n] / max(sum, 1e-9); draw < 0 {
+			return n
+		}
+	}
+	return routes[0]
+}
--- a/internal/hoist/post.go
+++ b/internal/hoist/post.go
@@ -34,12 +34,14 @@
 	ctx   context.Context
 }
 
+// TCPUserLimit is the socket option TCP_USER_TIMEOUT.
+const TCPUserLimit = 18
+
 const (
-	lineLength   = 512
-	writeWithin  = 2 * time.Second
-	idleFor      = time.Minute
-	dialWithin   = time.Second
-	tcpUserLimit = 18 // TCP_USER_TIMEOUT
+	lineLength  = 512
+	writeWithin = 2 * time.Second
+	idleFor     = time.Minute
+	dialWithin  = time.Second
 )
 
 // Listen opens the port, so that a taken one is known before anything runs.
@@ -169,7 +171,7 @@
 		// A circuit that a cut has swallowed must end soon, not after the
 		// kernel's own quarter of an hour.
 		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserLimit, int(writeWithin/time.Millisecond))
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, TCPUserLimit, int(writeWithin/time.Millisecond))
 		})
 	}}
 	if a, err := netip.ParseAddrPort(string(p.Address)); err == nil && p.Bind == "" {
--- a/internal/premises/foreman.go
+++ b/internal/premises/foreman.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/thejerf/suture/v4"
+
 	"dunlinwell/internal/foreman"
 	"dunlinwell/internal/hoist"
 	"dunlinwell/internal/params"
@@ -21,6 +23,11 @@
 	params.Common
 	PlanEvery time.Duration `help:"How often the spill is planned." default:"30s"`
 	Lifetime  time.Duration `help:"How long an answer of the directory may be trusted, 3s at most." default:"2s"`
+	// Options that a platform's own start sets.
+	Regions         map[ticket.Name]string `kong:"-"`
+	Thrifty, Always bool                   `kong:"-"`
+	// Edge gives what is served besides our own pages, by address.
+	Edge func(w *window.Window) map[string]http.Handler `kong:"-"`
 }
 
 // Validate checks what the common params don't cover.
@@ -38,7 +45,7 @@
 func RunForeman(ctx context.Context, p ForemanParams) error {
 	log := hoist.NewLog(p.Log, p.Name)
 	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList()},
-		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
+		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Regions: p.Regions, Thrifty: p.Thrifty, Always: p.Always, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
 	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
 	win := &window.Window{Log: log.Event}
 	owner := hoist.NewOwner(m, 50*time.Millisecond, func(c works.Command) {
@@ -68,6 +75,16 @@
 		}
 		return out
 	})
+	tasks := []suture.Service{owner, Task("post", func(c context.Context) error { return post.Serve(c, wire) })}
+	if p.Edge != nil {
+		for at, h := range p.Edge(win) {
+			l, err := window.Listen(at)
+			if err != nil {
+				return err
+			}
+			tasks = append(tasks, Task("pages "+at, func(c context.Context) error { return window.Serve(c, l, h, 300*time.Millisecond) }))
+		}
+	}
 	return live(ctx, "foreman", log, &stopping, func() error { return window.Serve(ctx, pages, mux, 1700*time.Millisecond) },
-		owner, Task("post", func(c context.Context) error { return post.Serve(c, wire) }))
+		tasks...)
 }
--- a/internal/rollcall/member.go
+++ b/internal/rollcall/member.go
@@ -44,8 +44,13 @@
 	Holds ticket.Revision
 	// Store is the store id of a stockroom; zero for the others.
 	Store uint64
+	// Serves is where a counter takes consumers, if not at HTTP.
+	Serves ticket.Address
 }
 
+// Consumers is where a counter takes consumers.
+func (m Member) Consumers() ticket.Address { return cmp.Or(m.Serves, m.HTTP) }
+
 // newer tells whether m replaces n. A suspicion beats its own incarnation's
 // life, and only a higher incarnation refutes it.
 func (m Member) newer(n Member) bool {
--- a/internal/signpost/signpost.go
+++ b/internal/signpost/signpost.go
@@ -122,7 +122,7 @@
 	list := slices.Clone(open[cell])
 	dice.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, c := range list[:min(most, len(list))] {
-		w.Counters = append(w.Counters, c.HTTP)
+		w.Counters = append(w.Counters, c.Consumers())
 	}
 	return w
 }
--- a/internal/window/items.go
+++ b/internal/window/items.go
@@ -27,7 +27,7 @@
 // read asks for the policy; local only where the caller wants that.
 func (w *Window) read(rw http.ResponseWriter, r *http.Request) (*catalogue.Policy, bool) {
 	local := r.URL.Query().Get("local") == "true"
-	rep := w.ask(func(id uint64) any { return foreman.PolicyCall{ID: id, Local: local} })
+	rep := w.Ask(func(id uint64) any { return foreman.PolicyCall{ID: id, Local: local} })
 	p, ok := rep.Body.(*catalogue.Policy)
 	if !ok {
 		Write(rw, rep)
@@ -146,18 +146,22 @@
 	}
 }
 
-// deed empties or refills a cell.
+// deed empties or refills a cell, or shuts or opens its targets alone.
 func (w *Window) deed(rw http.ResponseWriter, r *http.Request) {
 	switch r.PathValue("deed") {
 	case "empty":
 		w.single(rw, r, "cell", "set", []byte(`{"emptied":true}`))
 	case "refill":
 		w.single(rw, r, "cell", "set", []byte(`{"emptied":false}`))
+	case "shut":
+		w.single(rw, r, "cell", "set", []byte(`{"shut":true}`))
+	case "open":
+		w.single(rw, r, "cell", "set", []byte(`{"shut":false}`))
 	default:
 		Say(rw, 404, "there is no page "+r.URL.Path)
 	}
 }
 
 func (w *Window) change(rw http.ResponseWriter, raw []byte) {
-	Write(rw, w.ask(func(id uint64) any { return foreman.ChangeCall{ID: id, Raw: raw} }))
+	Write(rw, w.Ask(func(id uint64) any { return foreman.ChangeCall{ID: id, Raw: raw} }))
 }
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// ask hands an event in and waits for its reply.
-func (w *Window) ask(make1 func(id uint64) any) foreman.Response {
+// Ask hands an event in and waits for its reply.
+func (w *Window) Ask(make1 func(id uint64) any) foreman.Response {
 	id := w.next.Add(1)
 	c := make(chan foreman.Response, 1)
 	w.mu.Lock()
@@ -72,7 +72,7 @@
 
 // Status asks the foreman how things stand; an empty one if it doesn't answer.
 func (w *Window) Status() foreman.Status {
-	s, _ := w.ask(func(id uint64) any { return foreman.StatusCall{ID: id} }).Body.(foreman.Status)
+	s, _ := w.Ask(func(id uint64) any { return foreman.StatusCall{ID: id} }).Body.(foreman.Status)
 	return s
 }
 
@@ -91,7 +91,7 @@
 		}
 	})
 	m.HandleFunc("GET /v1/status", func(rw http.ResponseWriter, _ *http.Request) {
-		Write(rw, w.ask(func(id uint64) any { return foreman.StatusCall{ID: id} }))
+		Write(rw, w.Ask(func(id uint64) any { return foreman.StatusCall{ID: id} }))
 	})
 	m.HandleFunc("GET /v1/where", func(rw http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
@@ -99,7 +99,7 @@
 			Say(rw, 400, "route and cell must be given")
 			return
 		}
-		Write(rw, w.ask(func(id uint64) any {
+		Write(rw, w.Ask(func(id uint64) any {
 			return foreman.WhereCall{ID: id, Cell: ticket.Name(q.Get("cell")), Route: ticket.Name(q.Get("route"))}
 		}))
 	})
@@ -116,7 +116,7 @@
 			Write(rw, foreman.Response{Status: 400, Body: map[string]any{"problem": "announcement declined", "errors": bad}})
 			return
 		}
-		Write(rw, w.ask(func(id uint64) any { return foreman.AnnounceCall{ID: id, Target: t} }))
+		Write(rw, w.Ask(func(id uint64) any { return foreman.AnnounceCall{ID: id, Target: t} }))
 	})
 	return m
 }
--- a/internal/yard/yard.go
+++ b/internal/yard/yard.go
@@ -28,6 +28,9 @@
 	// Age is how long this incarnation has been known, in milliseconds, when
 	// the entry was last handed on.
 	Age uint64 `json:"age_ms"`
+	// Cold is how much longer, in milliseconds, the target says it bears little,
+	// as of when the entry was last handed on.
+	Cold uint64 `json:"cold_ms"`
 }
 
 // Newer tells whether t replaces u. A verdict of "gone" holds until the
@@ -55,12 +58,19 @@
 	list    map[ticket.Instance]*entry
 	version uint64
 	last    ticket.Tick
+	// Thrifty: a word that says nothing new but that its target is there is noted
+	// and not handed on, so that what is told of targets doesn't grow with beats.
+	Thrifty bool
 }
 
 type entry struct {
 	Target
 	heard ticket.Tick
 	born  ticket.Tick
+	// newest is the sequence of the target's last word, whether or not it said
+	// anything new; cold is until when it bears little.
+	newest ticket.Sequence
+	cold   ticket.Tick
 }
 
 // New makes an empty yard.
@@ -81,7 +91,11 @@
 	var changed []Target
 	for _, t := range list {
 		e, known := y.list[t.Instance]
-		if known && !t.Newer(e.Target) {
+		if known && !t.Newer(e.last()) {
+			continue
+		}
+		if known && y.Thrifty && e.alike(now, t) {
+			e.newest, e.heard = t.Sequence, max(e.heard, since)
 			continue
 		}
 		fresh := !known || e.Incarnation != t.Incarnation
@@ -95,7 +109,8 @@
 		if !t.Gone {
 			e.heard = since
 		}
-		e.Target = t
+		e.Target, e.newest = t, t.Sequence
+		e.cold = now.Add(time.Duration(t.Cold) * time.Millisecond)
 		y.version++
 		changed = append(changed, t)
 		if fresh && !t.Gone {
@@ -105,6 +120,27 @@
 	return changed
 }
 
+// last gives the entry as of its target's last word.
+func (e *entry) last() Target {
+	t := e.Target
+	t.Sequence = max(t.Sequence, e.newest)
+	return t
+}
+
+// coldSlack is how far two words on the same cold time may differ.
+const coldSlack = 300 * time.Millisecond
+
+// alike tells whether a later word says nothing new of its target.
+func (e *entry) alike(now ticket.Tick, t Target) bool {
+	u := e.Target
+	cold := now.Add(time.Duration(t.Cold) * time.Millisecond)
+	if t.Cold > 0 && cold.Since(e.cold) > coldSlack {
+		return false
+	}
+	u.Sequence, u.Age, u.Cold, u.Occupancy = t.Sequence, t.Age, t.Cold, t.Occupancy
+	return u == t
+}
+
 // displace ends whoever had the address before its newer owner.
 func (y *Yard) displace(t Target) []Target {
 	var out []Target
@@ -163,6 +199,7 @@
 	for _, id := range slices.Sorted(maps.Keys(y.list)) {
 		t := y.list[id].Target
 		t.Age = uint64(max(now.Since(y.list[id].born), 0) / time.Millisecond)
+		t.Cold = uint64(max(y.list[id].cold.Since(now), 0) / time.Millisecond)
 		out = append(out, t)
 	}
 	return out
@@ -179,5 +216,13 @@
 	return t, true
 }
 
+// Newest gives the sequence of a target's last word.
+func (y *Yard) Newest(id ticket.Instance) ticket.Sequence {
+	if e, ok := y.list[id]; ok {
+		return e.last().Sequence
+	}
+	return 0
+}
+
 // Version grows with each change.
 func (y *Yard) Version() uint64 { return y.version }
