A rehearsal takes the daemons beside its own program, and builds only without them

Cause: `rehearsal up` and `run` always built the daemons, which takes the source folder as the working folder, and a compiler. With every program built and at hand it ended with "build daemons" elsewhere.

Ruled out: taking whichever of the programs stand there and building the rest (a fleet of mixed versions that nobody asked for); a flag (it must work without being told).

The choice is printed.

Six cases of the choice and a failing build are tested.

--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -51,15 +51,6 @@
 	lock sync.Mutex
 }
 
-// Build compiles the daemons into a folder.
-func Build(bin string) error {
-	out, err := exec.Command("go", "build", "-o", bin+"/", "dunlinwell/cmd/counter", "dunlinwell/cmd/foreman", "dunlinwell/cmd/stockroom", "dunlinwell/cmd/dunlinwell").CombinedOutput()
-	if err != nil {
-		return problem.New("build daemons", "", "%v: %s", err, out)
-	}
-	return nil
-}
-
 func (f *Fleet) port(n int) int {
 	if f.Fixed {
 		return n
--- /dev/null
+++ b/internal/rehearsal/programs.go
@@ -0,0 +1,57 @@
+package rehearsal
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"dunlinwell/internal/problem"
+)
+
+// programs are what a fleet needs: its daemons, and the command line.
+var programs = []string{"counter", "foreman", "stockroom", "dunlinwell"}
+
+// Build compiles the programs into a folder, from the source folder alone.
+func Build(bin string) error {
+	args := []string{"build", "-o", bin + "/"}
+	for _, p := range programs {
+		args = append(args, "dunlinwell/cmd/"+p)
+	}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		return problem.New("build daemons", "", "%v: %s", err, out)
+	}
+	return nil
+}
+
+// beside is the folder that this program itself stands in; empty if unknown.
+func beside() string {
+	self, err := os.Executable()
+	if err != nil {
+		return ""
+	}
+	return filepath.Dir(self)
+}
+
+// chooseBin gives the folder of a fleet's programs: the one named, or else the
+// one beside us, which needs neither source nor compiler. Only where a program
+// is missing there are all of them built: a fleet is of one version.
+func chooseBin(named, beside, built string, build func(bin string) error) (string, error) {
+	switch {
+	case named != "":
+		return named, nil
+	case beside != "" && complete(beside):
+		return beside, nil
+	}
+	return built, build(built)
+}
+
+// complete tells whether a folder holds every program.
+func complete(bin string) bool {
+	for _, p := range programs {
+		f, err := os.Stat(filepath.Join(bin, p))
+		if err != nil || !f.Mode().IsRegular() || f.Mode()&0o111 == 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/rehearsal/programs_test.go
@@ -0,0 +1,63 @@
+package rehearsal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A fleet's programs are those named, or those beside rehearsal where all of
+// them stand there; they are built only where neither is so.
+func TestChooseBin(t *testing.T) {
+	put := func(t *testing.T, bin, name string, mode os.FileMode) {
+		is.New(t).NoErr(os.WriteFile(filepath.Join(bin, name), nil, mode))
+	}
+	for name, c := range map[string]struct {
+		named string
+		spoil func(t *testing.T, bin string)
+		want  string // empty for the folder beside
+	}{
+		"all beside":           {},
+		"named":                {named: "other", want: "other"},
+		"one missing":          {want: "built", spoil: func(t *testing.T, bin string) { is.New(t).NoErr(os.Remove(filepath.Join(bin, "foreman"))) }},
+		"command line missing": {want: "built", spoil: func(t *testing.T, bin string) { is.New(t).NoErr(os.Remove(filepath.Join(bin, "dunlinwell"))) }},
+		"one can't be run": {want: "built", spoil: func(t *testing.T, bin string) {
+			is.New(t).NoErr(os.Chmod(filepath.Join(bin, "counter"), 0o644))
+		}},
+		"one is a folder": {want: "built", spoil: func(t *testing.T, bin string) {
+			is.New(t).NoErr(os.Remove(filepath.Join(bin, "stockroom")))
+			is.New(t).NoErr(os.Mkdir(filepath.Join(bin, "stockroom"), 0o755))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			bin := t.TempDir()
+			for _, p := range programs {
+				put(t, bin, p, 0o755)
+			}
+			if c.spoil != nil {
+				c.spoil(t, bin)
+			}
+			want, builds := c.want, 0
+			if want == "" {
+				want = bin
+			}
+			got, err := chooseBin(c.named, bin, "built", func(string) error { builds++; return nil })
+			is.NoErr(err)
+			is.Equal(got, want)
+			is.Equal(builds == 1, want == "built") // built only as the last resort
+		})
+	}
+}
+
+// Where nothing is known of our own folder they are built, and a build that
+// fails says so.
+func TestChooseBinBuildFails(t *testing.T) {
+	is := is.New(t)
+	broken := errors.New("no source")
+	_, err := chooseBin("", "", "built", func(string) error { return broken })
+	is.True(errors.Is(err, broken))
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -43,7 +43,8 @@
 	Out   io.Writer
 	// Relay puts the relay between the daemons: region delays and cuts.
 	Relay bool
-	// Bin holds built daemons, to compare versions; empty builds these.
+	// Bin holds built daemons, to compare versions; empty takes those beside this
+	// program, or builds them.
 	Bin string
 	// Other holds those of every other daemon, for a mixed fleet.
 	Other string
@@ -55,7 +56,7 @@
 	PlanEvery time.Duration
 }
 
-// Raise builds and starts a fleet, sets its policy and starts its targets.
+// Raise starts a fleet, sets its policy and starts its targets.
 func Raise(ctx context.Context, p Params) (*Stage, error) {
 	plan, ok := blueprint.Plans[p.Plan]
 	if !ok {
@@ -73,17 +74,17 @@
 	if err := os.MkdirAll(p.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	s := &Stage{Fleet: &Fleet{Plan: plan, Bin: filepath.Join(p.Dir, "bin"), Dir: p.Dir, Fixed: p.Fixed, PlanEvery: cmp.Or(p.PlanEvery, 5*time.Second)}, Truth: &witness.Truth{}, Out: p.Out}
+	s := &Stage{Fleet: &Fleet{Plan: plan, Dir: p.Dir, Fixed: p.Fixed, PlanEvery: cmp.Or(p.PlanEvery, 5*time.Second)}, Truth: &witness.Truth{}, Out: p.Out}
 	if p.Relay {
 		s.relay = &Relay{Delay: s.delay}
 	}
 	s.Other = p.Other
 	s.Truth.Allowed = float64(plan.Allowed())
-	if p.Bin != "" {
-		s.Bin = p.Bin
-	} else if err := Build(s.Bin); err != nil {
+	var err error
+	if s.Bin, err = chooseBin(p.Bin, beside(), filepath.Join(p.Dir, "bin"), Build); err != nil {
 		return nil, err
 	}
+	fmt.Fprintf(s.Out, "daemons of %s\n", s.Bin)
 	if err := s.Start(); err != nil {
 		s.StopAll()
 		return nil, err
