The judge of changes in force goes by when bytes left the counter, not by the run

No counter can call bytes back from a socket.

Change: a run carries when its bytes left the counter: in the simulator exactly, in real plays when they came to the stand-in, before its freeze holds them. The judge takes that time for both sides: a change asked for after the bytes left excuses nothing any more. Where the time isn't known, the run's own stands for it.

--- /dev/null
+++ b/internal/drill/asleep_test.go
@@ -0,0 +1,57 @@
+package drill
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/desk"
+	"dunlinwell/internal/rollcall"
+	"dunlinwell/internal/ticket"
+	"dunlinwell/internal/witness"
+)
+
+// What left a counter before its route moved, and ran once a frozen target
+// woke, went by the policy of its time; what left after that did not.
+func TestBytesWaitInAFrozenTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent time.Duration
+		bad  int
+	}{
+		"left before the move": {10 * time.Second, 0},
+		"left 4 s after it":    {15 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := NewWorld(Params{Seed: 1})
+			p := w.addProc(rollcall.Counter, "counter-1", w.Plan.Cell(0), "10.9.3.1:1")
+			p.up, p.dice, p.desks = true, w.dice, newDesks(p, nil)
+			target := &target{w: w, id: "ledger-3", service: "ledger", cell: w.Plan.Cell(0), addr: "10.9.9.1:1", capacity: 8}
+			target.begin(false)
+			for n, service := range []string{"ledger", "catalog"} {
+				w.later(time.Duration(11*n)*time.Second, func() {
+					id := w.Truth.Ask([]byte(`{"id":"to-`+service+`","changes":[{"kind":"route","name":"flip","put":{"service":"`+service+`","repeatable":true}}]}`), w.clock())
+					w.Truth.Accept(id, uint64(n+1), w.clock())
+				})
+			}
+			w.later(9*time.Second, func() { target.freeze(11 * time.Second) })
+			due := ticket.Tick(60 * time.Second)
+			e := &errand{Job: desk.Job{ID: 1, Route: "flip", Service: "ledger", Repeatable: true, Due: due}, token: "flip:t1", try: 1}
+			w.later(c.sent, func() { p.desks.sent("ledger", desk.Ferry{ID: 1, Due: due}, e, target, time.Millisecond) })
+			w.until(ticket.Tick(19 * time.Second))
+			is.Equal(w.Truth.Tally(time.Time{})["runs"], 0) // it waits in the socket
+			w.until(ticket.Tick(21 * time.Second))
+			is.Equal(w.Truth.Tally(time.Time{})["runs"], 1) // 9 s after the move
+			var got witness.Count
+			for _, k := range w.Truth.Verdict() {
+				if strings.HasPrefix(k.What, "request by a policy") {
+					got = k
+				}
+			}
+			is.Equal(got.Judged, 1)
+			is.Equal(got.Count, c.bad)
+		})
+	}
+}
--- a/internal/drill/target.go
+++ b/internal/drill/target.go
@@ -114,11 +114,12 @@
 	}
 }
 
-// run is one execution: it is written down, and answered after its work.
-func (t *target) run(e *errand, p *proc, s ticket.Name, at ticket.Tick, left time.Duration, done func(till.Response, bool)) {
+// run is one execution: it is written down, and answered after its work. Sent
+// is when its bytes left the counter, and came when they reached the target.
+func (t *target) run(e *errand, p *proc, s ticket.Name, sent, came ticket.Tick, left time.Duration, done func(till.Response, bool)) {
 	t.busy++
-	r := witness.Ran{At: t.w.clock(), Instance: t.id, Service: t.service, Cell: t.cell, Token: e.token, Mark: string(e.Mark), Attempt: e.try, Untold: e.Job.Attempt == 0,
-		After: t.knownFor(at), Route: e.Route, Left: left, Counter: p.name, By: p.cell}
+	r := witness.Ran{At: t.w.clock(), Sent: clock(sent), Instance: t.id, Service: t.service, Cell: t.cell, Token: e.token, Mark: string(e.Mark), Attempt: e.try, Untold: e.Job.Attempt == 0,
+		After: t.knownFor(came), Route: e.Route, Left: left, Counter: p.name, By: p.cell}
 	t.w.Truth.Run(r)
 	t.w.trace("%s runs %s attempt %d for %s", t.id, e.token, e.try, p.name)
 	if s != t.service {
--- a/internal/rehearsal/target.go
+++ b/internal/rehearsal/target.go
@@ -197,10 +197,11 @@
 // note writes an execution down, and what is wrong with it.
 func (t *Target) note(r *http.Request, now int64, came time.Time) {
 	n, _ := strconv.Atoi(r.Header.Get("Attempt"))
-	ran := witness.Ran{At: time.Now(), Instance: t.Instance, Service: t.Service, Cell: t.Cell, Token: r.URL.Query().Get("token"), Mark: r.Header.Get("Idempotency-Key"), Attempt: n}
+	ran := witness.Ran{At: time.Now(), Sent: came, Instance: t.Instance, Service: t.Service, Cell: t.Cell, Token: r.URL.Query().Get("token"), Mark: r.Header.Get("Idempotency-Key"), Attempt: n}
 	if ms, err := strconv.Atoi(r.Header.Get("Time-Left")); err == nil {
 		ran.Left = time.Duration(ms) * time.Millisecond
 	}
+	// Its bytes had left by the time they came, before any freeze held them up.
 	ran.Counter, ran.Route = carrier(r.Header.Get("Request-Id")), t.RouteOf(r.URL.Path)
 	ran.By = t.CellOf(ran.Counter)
 	t.Ran(ran.By)
--- a/internal/witness/force.go
+++ b/internal/witness/force.go
@@ -30,10 +30,19 @@
 	return u.Service == string(r.Service) && (u.Repeatable || r.Mark != "") && (u.Limit == 0 || r.Left <= time.Duration(u.Limit)*time.Millisecond)
 }
 
+// sent is when its bytes left, as far as is known.
+func (r Ran) sent() time.Time {
+	if r.Sent.IsZero() {
+		return r.At
+	}
+	return r.Sent
+}
+
 // inForce finds runs that went by an older policy than one accepted over 3 s
 // before: by a route that was moved to another service, removed, or given
 // another limit. The targets saw them; whether their counter was ready, cut
-// off or anything else makes no difference.
+// off or anything else makes no difference. What counts is when the bytes left
+// the counter: no counter can call them back from a frozen target's socket.
 func (t *Truth) inForce() Count {
 	c := Count{What: "request by a policy that another was accepted over 3 s before"}
 	routes := map[string][]*Change{}
@@ -45,10 +54,11 @@
 		}
 	}
 	for _, r := range t.ran {
+		sent := r.sent()
 		list := routes[string(r.Route)]
 		var base *Change
 		for _, ch := range list {
-			if ch.Revision != 0 && r.At.Sub(ch.Told) > forceWithin && (base == nil || ch.Revision > base.Revision) {
+			if ch.Revision != 0 && sent.Sub(ch.Told) > forceWithin && (base == nil || ch.Revision > base.Revision) {
 				base = ch
 			}
 		}
@@ -59,10 +69,10 @@
 		good := false
 		for _, ch := range list {
 			newer := ch == base || ch.Revision > base.Revision || ch.Revision == 0
-			good = good || newer && !ch.Asked.After(r.At) && ch.Items[Item{"route", string(r.Route)}].fits(r)
+			good = good || newer && !ch.Asked.After(sent) && ch.Items[Item{"route", string(r.Route)}].fits(r)
 		}
 		if !good {
-			c.add(fmt.Sprintf("%s of %s ran %s through %s %s after %s was accepted", r.Instance, r.Service, r.Token, r.Counter, r.At.Sub(base.Told).Round(time.Millisecond), base.ID))
+			c.add(fmt.Sprintf("%s of %s ran %s, sent by %s %s after %s was accepted", r.Instance, r.Service, r.Token, r.Counter, sent.Sub(base.Told).Round(time.Millisecond), base.ID))
 		}
 	}
 	return c
--- /dev/null
+++ b/internal/witness/force_test.go
@@ -0,0 +1,50 @@
+package witness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/ticket"
+)
+
+// A run goes by the policy that its counter held when the bytes left: what then
+// waits in a frozen target's socket is no fault of the counter's.
+func TestInForceGoesByWhenTheBytesLeft(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(0, int64(s*1e9)) }
+	for name, c := range map[string]struct {
+		sent, ran float64
+		service   ticket.Name
+		judged    int
+		want      int
+	}{
+		"left before the change, ran at once":          {9, 9, "old", 1, 0},
+		"left before the change, ran long after":       {9, 20, "old", 1, 0},
+		"left within 3 s of it, ran long after":        {12.9, 20, "old", 1, 0},
+		"left past 3 s after it, ran at once":          {13.1, 13.1, "old", 1, 1},
+		"left past 3 s after it, ran long after":       {13.1, 20, "old", 1, 1},
+		"left by the change, before it, as none could": {9, 20, "new", 1, 1},
+		"left by the change":                           {13.1, 20, "new", 1, 0},
+		"nobody knows when it left, ran past 3 s":      {0, 13.1, "old", 1, 1},
+		"left before any change was in force":          {2, 20, "old", 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var w Truth
+			for n, service := range []string{"old", "new"} {
+				asked := at(float64(10 * n))
+				id := w.Ask([]byte(`{"id":"to-`+service+`","changes":[{"kind":"route","name":"way","put":{"service":"`+service+`","repeatable":true}}]}`), asked)
+				w.Accept(id, uint64(n+1), asked)
+			}
+			r := Ran{At: at(c.ran), Service: c.service, Route: "way"}
+			if c.sent != 0 {
+				r.Sent = at(c.sent)
+			}
+			w.Run(r)
+			got := w.inForce()
+			is.Equal(got.Judged, c.judged)
+			is.Equal(got.Count, c.want)
+		})
+	}
+}
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -12,7 +12,11 @@
 
 // Ran is one execution at a stand-in target.
 type Ran struct {
-	At       time.Time
+	At time.Time
+	// Sent is when its bytes left the counter, or the latest time that they may
+	// have: they may wait long in the socket of a target that is frozen. Zero
+	// where nobody knows: then the run's own time stands for it.
+	Sent     time.Time
 	Instance ticket.Instance
 	Service  ticket.Name
 	Cell     ticket.Name
