--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -206,10 +206,8 @@
 	}
 	if part.Remove {
 		delete(items, part.Name)
-		// An item whose versions come from outside stays removed for them too.
-		if have.Source != nil {
-			p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
-		}
+		// It stays removed for copies of it that arrive later, too.
+		p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
 		return Touched{Kind: part.Kind, Name: part.Name}
 	}
 	body := part.Put
@@ -225,6 +223,6 @@
 		t.Version = max(t.Version, v+1)
 	}
 	delete(p.Removed, part.Kind+"/"+string(part.Name))
-	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body)}
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), At: p.Revision}
 	return t
 }
--- /dev/null
+++ b/internal/catalogue/delta.go
@@ -0,0 +1,67 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+
+	"dunlinwell/internal/ticket"
+)
+
+var kindNames = []string{"service", "route", "cell", "limits"}
+
+// Since gives what changed after a revision, packed for those who only obey. A
+// change then costs its own items and not the whole policy.
+func (p *Policy) Since(base ticket.Revision) []byte {
+	d := &Policy{Revision: p.Revision, Base: base, Services: map[ticket.Name]Item{}, Routes: map[ticket.Name]Item{},
+		Cells: map[ticket.Name]Item{}, Limits: map[ticket.Name]Item{}, Removed: map[string]Buried{}}
+	for _, k := range kindNames {
+		for n, it := range p.Of(k) {
+			if it.At > base {
+				d.Of(k)[n] = it
+			}
+		}
+	}
+	for k, b := range p.Removed {
+		if b.At > base {
+			d.Removed[k] = b
+		}
+	}
+	raw, _ := json.Marshal(d)
+	return raw
+}
+
+// Advance gives the policy that a packed one or a difference leads to, or the
+// same policy if it is no newer, or builds on what isn't here.
+func (p *Policy) Advance(raw []byte) (*Policy, error) {
+	d, err := Open(raw)
+	if err != nil || d.Revision <= p.Revision {
+		return p, err
+	}
+	if d.Base == 0 {
+		return d, nil
+	}
+	if p.Revision < d.Base {
+		return p, nil
+	}
+	next := p.copy()
+	next.Revision = d.Revision
+	next.Recent, next.Declined = nil, nil
+	for _, k := range kindNames {
+		maps.Copy(next.Of(k), d.Of(k))
+		for n := range d.Of(k) {
+			delete(next.Removed, k+"/"+string(n))
+		}
+	}
+	for key, b := range d.Removed {
+		kind, name, _ := strings.Cut(key, "/")
+		if items := next.Of(kind); items != nil {
+			delete(items, ticket.Name(name))
+		}
+		if next.Removed == nil {
+			next.Removed = map[string]Buried{}
+		}
+		next.Removed[key] = b
+	}
+	return next, nil
+}
--- a/internal/catalogue/merge.go
+++ b/internal/catalogue/merge.go
@@ -117,7 +117,7 @@
 		return it.Version, true
 	}
 	v, ok := p.Removed[kind+"/"+string(name)]
-	return v, ok
+	return v.Version, ok
 }
 
 // merge takes one item if its version is the highest for its name.
@@ -132,16 +132,16 @@
 		return true
 	}
 	delete(p.Removed, key)
-	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source}
+	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source, At: p.Revision}
 	return true
 }
 
 // bury notes under which version an item was removed.
 func (p *Policy) bury(key string, v ticket.Revision) {
 	if p.Removed == nil {
-		p.Removed = map[string]ticket.Revision{}
+		p.Removed = map[string]Buried{}
 	}
-	p.Removed[key] = v
+	p.Removed[key] = Buried{Version: v, At: p.Revision}
 }
 
 // unknownServices finds services that a route names and that aren't there.
--- a/internal/catalogue/policy.go
+++ b/internal/catalogue/policy.go
@@ -22,6 +22,14 @@
 	// Source is the item in its caller's own form, where that isn't ours; it is
 	// kept as it was sent, to be read back.
 	Source json.RawMessage `json:"source,omitempty"`
+	// At is the policy's revision that last changed the item.
+	At ticket.Revision `json:"at,omitempty"`
+}
+
+// Buried is what is known of an item that was removed.
+type Buried struct {
+	Version ticket.Revision `json:"version"`
+	At      ticket.Revision `json:"at"`
 }
 
 // Policy is all items, and the results of recent changes by change id.
@@ -33,8 +41,10 @@
 	Limits   map[ticket.Name]Item `json:"limits,omitempty"`
 	// Removed holds, by kind/name, the version under which an item was removed:
 	// an older copy that arrives later must not bring it back.
-	Removed map[string]ticket.Revision `json:"removed,omitempty"`
-	Recent  []Result                   `json:"recent,omitempty"`
+	Removed map[string]Buried `json:"removed,omitempty"`
+	// Base, if set, tells that only what changed since that revision is here.
+	Base   ticket.Revision `json:"base,omitempty"`
+	Recent []Result        `json:"recent,omitempty"`
 	// Declined are kept as well: a late copy of a change whose caller was told
 	// that it is declined must not be accepted once the item it lacked is there.
 	Declined []Result `json:"declined,omitempty"`
--- a/internal/counter/agreement.go
+++ b/internal/counter/agreement.go
@@ -26,7 +26,8 @@
 			return
 		}
 		if p, err := catalogue.Open(out); err == nil {
-			c.adopt(at, p.Pack(false))
+			p.Recent, p.Declined = nil, nil
+			c.adopt(at, out)
 			c.confirm(p.Revision, now)
 		}
 	})
--- a/internal/counter/control.go
+++ b/internal/counter/control.go
@@ -6,10 +6,7 @@
 	"time"
 
 	"dunlinwell/internal/catalogue"
-	"dunlinwell/internal/desk"
-	"dunlinwell/internal/haulage"
 	"dunlinwell/internal/ledger"
-	"dunlinwell/internal/parcel"
 	"dunlinwell/internal/rollcall"
 	"dunlinwell/internal/rounds"
 	"dunlinwell/internal/ticket"
@@ -17,39 +14,6 @@
 	"dunlinwell/internal/yard"
 )
 
-// Events and commands between the control machine and the rest of a counter.
-type (
-	// Asked is a desk's wish about a mark.
-	Asked struct {
-		Service ticket.Name
-		Wish    desk.Wish
-	}
-	// Meter is what the requests of an interval have cost.
-	Meter struct {
-		Interval time.Duration
-		Rows     []haulage.Spent
-		Latency  time.Duration
-		Count    uint64
-	}
-	// ToDesk hands an event to a service's desk.
-	ToDesk struct {
-		Service ticket.Name
-		Event   works.Event
-	}
-	// Stopping is the platform's polite signal.
-	Stopping struct{}
-	// Routes hands the new policy to the router.
-	Routes struct{ View *catalogue.View }
-	// Footing says whether the counter takes work, and whether it is cut off.
-	Footing struct {
-		Ready   bool
-		InStep  bool
-		CutOff  bool
-		Emptied bool
-		Members []rollcall.Member
-	}
-)
-
 // Control is the counter's control machine.
 type Control struct {
 	works.Out
@@ -57,8 +21,9 @@
 	*rollcall.Roll
 	Asker *ledger.Asker
 	yard  *yard.Yard
-	raw   []byte
-	view  *catalogue.View
+	// policy is what is in force here, as far as is known; view is it, read.
+	policy *catalogue.Policy
+	view   *catalogue.View
 	// word is as of when the targets are known, by a foreman's word; agreed is
 	// when the newest agreement began by which the policy held here is in force.
 	word   ticket.Tick
@@ -135,7 +100,7 @@
 	c.Asker = ledger.NewAsker(p.Self.Start, &c.Out)
 	c.Asker.Order = c.stores
 	empty, _ := catalogue.Open(nil)
-	c.view = empty.View()
+	c.policy, c.view = empty, empty.View()
 	c.view.Know(o.Regions)
 	return c
 }
@@ -181,7 +146,7 @@
 		c.Asker.Told(now, m)
 	case ledger.WhoHolds:
 		if c.view.Revision > 0 {
-			c.Tell(from, ledger.Held{Revision: c.view.Revision, Policy: c.raw})
+			c.Tell(from, ledger.Held{Revision: c.view.Revision, Policy: c.policy.Pack(false)})
 		}
 	case Inquiry:
 		c.inquired(now, from, m)
@@ -212,13 +177,13 @@
 
 // adopt takes a newer policy; a counter never goes back to an older one.
 func (c *Control) adopt(now ticket.Tick, raw []byte) {
-	p, err := catalogue.Open(raw)
-	if err != nil || p.Revision <= c.view.Revision {
+	p, err := c.policy.Advance(raw)
+	if err != nil || p == c.policy {
 		return
 	}
 	late := !c.inStep(now)
 	old := c.view
-	c.raw, c.view = raw, p.View()
+	c.policy, c.view = p, p.View()
 	c.view.Know(c.Regions)
 	c.thaw(now, old)
 	switch {
@@ -230,32 +195,3 @@
 	c.Do(Routes{View: c.view})
 	c.Say("info", "policy", "revision", itoa(uint64(p.Revision)))
 }
-
-// asked carries a desk's wish to the stockrooms.
-func (c *Control) asked(now ticket.Tick, a Asked) {
-	w := a.Wish
-	var arg []byte
-	if w.Op != ledger.Read {
-		raw, err := parcel.Pack(w.Wish)
-		if err != nil {
-			c.Do(ToDesk{a.Service, desk.Told{ID: w.ID, Turn: w.Turn, State: ledger.Declined}})
-			return
-		}
-		arg = raw
-	}
-	c.Asker.Want(now, w.Key, w.Op, arg, w.Wait, func(_ ticket.Tick, s ledger.State, out []byte) {
-		if w.Turn != 0 {
-			c.Do(ToDesk{a.Service, desk.Told{ID: w.ID, Turn: w.Turn, State: s, Out: out}})
-		}
-	})
-}
-
-// report tells every foreman what this counter spent.
-func (c *Control) report(m Meter) {
-	c.number++
-	r := haulage.Report{Counter: c.Self.ID, Start: c.Self.Start, Cell: c.Self.Cell, Number: c.number,
-		Interval: uint32(m.Interval / time.Millisecond), Rows: m.Rows, Latency: uint64(m.Latency / time.Microsecond), Count: m.Count}
-	for _, f := range c.Live(rollcall.Foreman) {
-		c.Tell(f.Address, r)
-	}
-}
--- a/internal/counter/daemon.go
+++ b/internal/counter/daemon.go
@@ -90,7 +90,7 @@
 	d := &Daemon{Params: p, log: hoist.NewLog(p.Log, p.Name), meter: newMeter(), desks: map[ticket.Name]*place{}}
 	d.self = premises.Self(p.Common, rollcall.Counter)
 	d.self.Serves = ticket.Address(p.Consumers)
-	control := New(rollcall.Params{Self: d.self, Seeds: p.SeedList()}, Options{Lease: p.Lease, Layout: p.Layout})
+	control := New(rollcall.Params{Self: d.self, Seeds: p.SeedList(), Thrifty: p.ByCell}, Options{Lease: p.Lease, Layout: p.Layout})
 	d.owner = hoist.NewOwner(&beating{control, d}, 50*time.Millisecond, d.do)
 	d.post = &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: d.log,
 		Deliver: func(from ticket.Address, msg any) { d.owner.Offer(works.Heard{From: from, Msg: msg}) }}
--- a/internal/counter/footing.go
+++ b/internal/counter/footing.go
@@ -59,7 +59,14 @@
 	}
 }
 
-func (c *Control) cutOff(now ticket.Tick) bool { return c.word != 0 && now.Since(c.word) > cutAfter }
+func (c *Control) cutOff(now ticket.Tick) bool {
+	after := cutAfter
+	if c.ByCell {
+		// Foremen say a word a second to those that nothing is new for.
+		after = 2 * cutAfter
+	}
+	return c.word != 0 && now.Since(c.word) > after
+}
 
 // stand tells the rest of the process how the counter stands.
 func (c *Control) stand(now ticket.Tick) {
@@ -87,7 +94,11 @@
 	ended := c.ended()
 	by := map[ticket.Name][]desk.Offer{}
 	for _, t := range c.yard.All(now) {
-		by[t.Service] = append(by[t.Service], c.offer(now, t, seats))
+		o := c.offer(now, t, seats)
+		// In a large fleet most targets are others' to use.
+		if !c.ByCell || some(o, c.view.Services[t.Service].Capacity) {
+			by[t.Service] = append(by[t.Service], o)
+		}
 	}
 	terms := c.terms()
 	for _, n := range c.shelved {
--- a/internal/counter/hearsay.go
+++ b/internal/counter/hearsay.go
@@ -50,7 +50,7 @@
 
 // inquire asks other counters, once foremen and stockrooms have not answered.
 func (c *Control) inquire(now ticket.Tick) {
-	if now.Since(c.sure()) < inquireAfter || now.Since(c.since) < inquireEvery {
+	if c.Lease == Endless || now.Since(c.sure()) < inquireAfter || now.Since(c.since) < inquireEvery {
 		return
 	}
 	c.since = now
@@ -76,7 +76,7 @@
 	t := Tidings{For: q.Start, Echo: q.Now, Revision: c.view.Revision, Targets: c.yard.All(now),
 		Agreed: uint32(now.Since(c.agreed) / time.Millisecond), Word: uint32(now.Since(c.word) / time.Millisecond)}
 	if q.Revision < c.view.Revision {
-		t.Policy = c.raw
+		t.Policy = c.policy.Pack(false)
 	}
 	c.Tell(from, t)
 }
--- a/internal/counter/places.go
+++ b/internal/counter/places.go
@@ -127,3 +127,13 @@
 	h.Write([]byte(d))
 	return h.Sum64()
 }
+
+// some tells whether any place at all falls to a seat, when the target is warm.
+func some(o desk.Offer, capacity int) bool {
+	if o.Capacity > 0 {
+		capacity = int(o.Capacity)
+	}
+	bears := max(capacity, 1) * max(o.Over, 1)
+	n := max(o.Seats, 1)
+	return bears*(o.Seat+1)/n > bears*o.Seat/n
+}
--- a/internal/counter/run.go
+++ b/internal/counter/run.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"dunlinwell/internal/premises"
@@ -65,6 +68,20 @@
 		case <-report.C:
 			d.circuits.sweep()
 			d.owner.Put(d.meter.read())
+			d.sayReasons()
+		}
+	}
+}
+
+// sayReasons logs why requests got no answer of late, a line a reason.
+func (d *Daemon) sayReasons() {
+	for _, n := range d.services() {
+		p := d.at(n)
+		p.mu.Lock()
+		why := p.desk.Reasons()
+		p.mu.Unlock()
+		for _, w := range slices.Sorted(maps.Keys(why)) {
+			d.log.Event("warn", "unanswered", "service", string(n), "why", w, "count", strconv.Itoa(why[w]))
 		}
 	}
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -74,6 +74,8 @@
 	mean   time.Duration
 	last   ticket.Tick
 	Tally  Tally
+	// reasons count why requests got no answer of a target.
+	reasons map[string]int
 }
 
 // Tally counts what the desk did, for reports and pages.
--- a/internal/desk/endings.go
+++ b/internal/desk/endings.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"strings"
 	"time"
 
 	"dunlinwell/internal/ticket"
@@ -15,14 +16,38 @@
 	switch r.Class {
 	case Declined:
 		d.Tally.Declined++
+		d.note(r.Why)
 	case Unknown:
 		d.Tally.Unknown++
+		d.note(r.Why)
 	case Answered:
 		d.Tally.Answered++
 	}
 	d.Do(r)
 }
 
+// mostReasons bounds the reasons kept apart; some name addresses.
+const mostReasons = 16
+
+// note counts a reason, by its words before any colon.
+func (d *Desk) note(why string) {
+	why, _, _ = strings.Cut(why, ":")
+	if _, known := d.reasons[why]; !known && len(d.reasons) >= mostReasons {
+		why = "other"
+	}
+	if d.reasons == nil {
+		d.reasons = map[string]int{}
+	}
+	d.reasons[why]++
+}
+
+// Reasons gives why requests got no answer since it was last asked.
+func (d *Desk) Reasons() map[string]int {
+	out := d.reasons
+	d.reasons = nil
+	return out
+}
+
 func (d *Desk) unknown(now ticket.Tick, j *job, status int, why string) {
 	after := time.Duration(0)
 	if j.Repeatable {
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -150,7 +150,7 @@
 		return
 	}
 	// An agreement read: every daemon gives the same truth, or none.
-	f.Asker.Want(now, catalogue.Key, ledger.Read, nil, callWait, func(_ ticket.Tick, s ledger.State, out []byte) {
+	f.Asker.Reread(now, catalogue.Key, f.whole, f.sum, callWait, func(_ ticket.Tick, s ledger.State, out []byte) {
 		p, err := catalogue.Open(out)
 		if s != ledger.Done || err != nil {
 			f.unreached(c.ID)
@@ -185,10 +185,14 @@
 }
 
 func (f *Foreman) look(now ticket.Tick) signpost.Sight {
-	cells := f.cells(now)
+	// Few asks need the room, and drawing every cell up costs more than they do.
+	var cells map[ticket.Name]haulage.Cell
 	s := signpost.Sight{Counters: f.ready(now), Emptied: map[ticket.Name]bool{},
 		Distance: f.view.Distance, Demand: f.Books.Demand,
 		Room: func(n ticket.Name) float64 {
+			if cells == nil {
+				cells = f.cells(now)
+			}
 			c := cells[n]
 			if c.Stale {
 				return 0
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -52,7 +52,12 @@
 	Books  *haulage.Books
 	params Params
 
-	raw    []byte
+	raw []byte
+	// deltas are differences to the policy in force, by the revision they are from.
+	deltas map[ticket.Revision][]byte
+	// whole is the register's value as it was last read, and sum sums it up.
+	whole  []byte
+	sum    uint64
 	policy *catalogue.Policy
 	view   *catalogue.View
 	// agreed is when a majority last told us the policy.
@@ -61,15 +66,15 @@
 	poll    ticket.Tick
 	share   ticket.Tick
 	woke    ticket.Tick
-	last    ticket.Tick
-	seen    signpost.Sight
-	seenBy  sightKey
-	seenAt  ticket.Tick
+	// delivered is when counters were last told what they lack.
+	delivered ticket.Tick
+	last      ticket.Tick
+	seen      signpost.Sight
+	seenBy    sightKey
+	seenAt    ticket.Tick
 	// partings are targets that wait to hear that they may stop.
 	partings []parting
-	// beats are the targets that told this foreman something since it last
-	// shared.
-	beats map[ticket.Instance]yard.Target
+	peers
 
 	plans
 }
@@ -79,16 +84,20 @@
 	p.fill()
 	p.Self.Role = rollcall.Foreman
 	f := &Foreman{params: p, Yard: yard.New(), Books: haulage.NewBooks()}
-	f.Yard.Thrifty = p.Thrifty
+	f.Yard.Thrifty, f.Yard.Self = p.Thrifty, p.Self.ID
 	f.Roll = rollcall.New(p.Params, &f.Out)
 	f.Roll.MayJudge = func(now ticket.Tick) bool { return f.age(now) < judgeWithin }
 	f.Asker = ledger.NewAsker(p.Self.Start, &f.Out)
 	f.Asker.Order = f.stores
 	f.Rounds = rounds.New(p.Self.Start, &f.Out)
+	if p.Thrifty {
+		f.Rounds.WordEvery = time.Second
+	}
 	f.policy, _ = catalogue.Open(nil)
 	f.view = f.policy.View()
 	f.view.Know(p.Regions)
 	f.plans = newPlans()
+	f.peers = newPeers()
 	return f
 }
 
@@ -107,8 +116,10 @@
 }
 
 const (
-	pollEvery  = 500 * time.Millisecond
-	shareEvery = time.Second
+	// deliverEvery bounds how often what isn't urgent is told.
+	deliverEvery = 150 * time.Millisecond
+	pollEvery    = 500 * time.Millisecond
+	shareEvery   = time.Second
 	// judgeWithin is how old an agreement may be for a foreman to judge.
 	judgeWithin = 3 * time.Second
 	// counterLag is how long a counter may leave a change unacknowledged
@@ -138,7 +149,12 @@
 	f.Announce(f.agreed != 0 && now.Since(f.agreed) < 5*time.Second, f.view.Revision)
 	f.Roll.Clock(now)
 	f.Asker.Clock(now)
-	for _, t := range f.Yard.Clock(now) {
+	f.keepPeers(now)
+	silent := f.Yard.Clock(now)
+	if f.params.Thrifty {
+		f.tellForemen(silent)
+	}
+	for _, t := range silent {
 		f.Say("warn", "target silent", "target", string(t.Instance), "service", string(t.Service), "address", string(t.Address))
 	}
 	f.Yard.Forget(now, time.Hour)
@@ -149,7 +165,9 @@
 		f.share = now.Add(shareEvery)
 		f.shareTargets(now)
 	}
-	f.deliver(now)
+	if !f.params.Thrifty || now.Since(f.delivered) >= deliverEvery {
+		f.deliver(now)
+	}
 	f.part(now)
 	f.planning(now)
 }
@@ -159,7 +177,7 @@
 	f.reading = true
 	f.poll = now.Add(pollEvery)
 	began := now
-	f.Asker.Want(now, catalogue.Key, ledger.Read, nil, 2*time.Second, func(_ ticket.Tick, s ledger.State, out []byte) {
+	f.Asker.Reread(now, catalogue.Key, f.whole, f.sum, 2*time.Second, func(_ ticket.Tick, s ledger.State, out []byte) {
 		f.reading = false
 		if s == ledger.Done {
 			f.agreed = began
@@ -168,43 +186,14 @@
 	})
 }
 
-// adopt takes a chosen policy if it is newer. It never goes back.
-func (f *Foreman) adopt(raw []byte) {
-	p, err := catalogue.Open(raw)
-	if err != nil {
-		f.Say("error", "policy unreadable", "problem", err.Error())
-		return
-	}
-	if p.Revision <= f.policy.Revision {
-		return
-	}
-	f.policy, f.view, f.raw = p, p.View(), p.Pack(false)
-	f.view.Know(f.params.Regions)
-	f.Say("info", "policy", "revision", itoa(uint64(p.Revision)))
-}
-
-// deliver pushes what counters lack.
-func (f *Foreman) deliver(now ticket.Tick) {
-	f.Rounds.Go(now, f.Live(rollcall.Counter), rounds.Consignment{Revision: f.view.Revision, Policy: f.raw,
-		Targets: f.Yard.All(now), Version: f.Yard.Version()<<20 + uint64(f.view.Revision), Age: f.age(now)})
-}
-
-func (f *Foreman) tellForemen(list []yard.Target) {
-	if len(list) == 0 {
-		return
-	}
-	for _, m := range f.Live(rollcall.Foreman) {
-		if m.ID != f.Self.ID {
-			f.Tell(m.Address, yard.Share{List: list})
-		}
-	}
-}
-
 func (f *Foreman) hear(now ticket.Tick, from ticket.Address, msg any) {
 	switch m := msg.(type) {
 	case ledger.Told:
+		before := f.view.Revision
 		f.Asker.Told(now, m)
-		f.deliver(now)
+		if !f.params.Thrifty || f.view.Revision > before {
+			f.deliver(now)
+		}
 	case ledger.Chosen:
 		if m.Key == catalogue.Key {
 			f.adopt(m.Value)
@@ -214,7 +203,14 @@
 		f.Rounds.Acked(now, m)
 		f.part(now)
 	case yard.Share:
-		f.taken(now, f.Yard.Merge(now, m.List...))
+		f.shared(now, m.List)
+	case Pulse:
+		f.pulsed(now, m)
+	case Parting:
+		f.owes = append(f.owes, m)
+		f.part(now)
+	case Parted:
+		f.parted(now, m)
 	case haulage.Report:
 		f.Books.Enter(now, m)
 	case haulage.Table:
@@ -226,18 +222,6 @@
 	}
 }
 
-// taken pushes at once what can't wait: a target that leaves or is gone.
-func (f *Foreman) taken(now ticket.Tick, changed []yard.Target) {
-	for _, t := range changed {
-		if !t.Usable() {
-			f.Say("info", "target leaves", "target", string(t.Instance), "address", string(t.Address), "gone", yes(t.Gone))
-		}
-	}
-	if len(changed) > 0 {
-		f.deliver(now)
-	}
-}
-
 // age tells how old the last agreement on the policy is.
 func (f *Foreman) age(now ticket.Tick) time.Duration {
 	if f.agreed == 0 {
@@ -251,7 +235,8 @@
 func (f *Foreman) ready(now ticket.Tick) []rollcall.Member {
 	var out []rollcall.Member
 	for _, m := range f.Live(rollcall.Counter) {
-		if m.Ready && f.Rounds.Fresh(now, m, counterLag) {
+		// Where others deliver to it, its own word in the roll must do.
+		if m.Ready && (f.params.Thrifty || f.Rounds.Fresh(now, m, counterLag)) {
 			out = append(out, m)
 		}
 	}
--- a/internal/foreman/leaving.go
+++ b/internal/foreman/leaving.go
@@ -1,11 +1,8 @@
 package foreman
 
 import (
-	"maps"
-	"slices"
 	"time"
 
-	"dunlinwell/internal/rollcall"
 	"dunlinwell/internal/ticket"
 	"dunlinwell/internal/yard"
 )
@@ -17,6 +14,8 @@
 	call   uint64
 	target yard.Target
 	due    ticket.Tick
+	// waits are the other foremen that have not said yet that theirs go by it.
+	waits map[ticket.Daemon]bool
 }
 
 // partWithin bounds the wait. The answer says whether all have it.
@@ -24,34 +23,49 @@
 
 // announced takes a target's word.
 func (f *Foreman) announced(now ticket.Tick, c AnnounceCall) {
+	if f.params.Thrifty {
+		c.Target.Keeper, c.Target.Run = f.Self.ID, f.Self.Start
+	}
 	changed := f.Yard.Merge(now, c.Target)
 	f.taken(now, changed)
 	f.tellForemen(changed)
-	if f.beats == nil {
-		f.beats = map[ticket.Instance]yard.Target{}
-	}
-	f.beats[c.Target.Instance] = c.Target
 	if !c.Target.Usable() && (len(changed) > 0 || f.params.Thrifty) {
-		f.partings = append(f.partings, parting{c.ID, c.Target, now.Add(partWithin)})
+		p := parting{call: c.ID, target: c.Target, due: now.Add(partWithin), waits: map[ticket.Daemon]bool{}}
+		f.askParting(now, p)
+		f.partings = append(f.partings, p)
 		f.part(now)
 		return
 	}
 	f.Do(Response{ID: c.ID, Status: 200, Body: map[string]any{"known": len(changed) > 0}})
 }
 
-// shareTargets keeps the other foremen up to date: with all targets, or with
-// those that told this one something since.
+// shareTargets keeps the other foremen up to date with all targets. Thrifty ones
+// tell one another of changes, and by their pulses whether one was lost.
 func (f *Foreman) shareTargets(now ticket.Tick) {
 	if !f.params.Thrifty {
 		f.tellForemen(f.Yard.All(now))
+	}
+}
+
+// shared takes what another foreman tells of targets, and tells all where this
+// one knows better.
+func (f *Foreman) shared(now ticket.Tick, list []yard.Target) {
+	changed := f.Yard.Merge(now, list...)
+	f.taken(now, changed)
+	if !f.params.Thrifty {
 		return
 	}
-	var list []yard.Target
-	for _, id := range slices.Sorted(maps.Keys(f.beats)) {
-		list = append(list, f.beats[id])
+	gone := map[ticket.Instance]bool{}
+	for _, t := range list {
+		gone[t.Instance] = t.Gone
+	}
+	var insist []yard.Target
+	for _, t := range changed {
+		if !t.Gone && gone[t.Instance] {
+			insist = append(insist, t)
+		}
 	}
-	f.beats = nil
-	f.tellForemen(list)
+	f.tellForemen(insist)
 }
 
 // gone takes a target's word that it ends, where it says no more than its name.
@@ -72,7 +86,7 @@
 	left := f.partings[:0]
 	for _, p := range f.partings {
 		switch {
-		case f.Rounds.Reached(f.Live(rollcall.Counter), p.target):
+		case len(p.waits) == 0 && f.Rounds.Reached(f.served(now), p.target):
 			f.Do(Response{ID: p.call, Status: 200, Body: map[string]any{"known": true, "everywhere": true}})
 		case now >= p.due:
 			f.Do(Response{ID: p.call, Status: 200, Body: map[string]any{"known": true, "everywhere": false}})
@@ -81,4 +95,40 @@
 		}
 	}
 	f.partings = left
+	owes := f.owes[:0]
+	for _, o := range f.owes {
+		if f.Rounds.Reached(f.served(now), o.Target) {
+			f.Tell(o.Asker, Parted{ID: f.Self.ID, Instance: o.Target.Instance, Sequence: o.Target.Sequence})
+		} else if len(f.owes) < mostOwed {
+			owes = append(owes, o)
+		}
+	}
+	f.owes = owes
+}
+
+// mostOwed bounds what is kept for askers that may be gone.
+const mostOwed = 4096
+
+// askParting asks the foremen that serve counters beside this one.
+func (f *Foreman) askParting(now ticket.Tick, p parting) {
+	if !f.params.Thrifty {
+		return
+	}
+	f.served(now)
+	for _, m := range f.group {
+		if m.ID != f.Self.ID {
+			p.waits[m.ID] = true
+			f.Tell(m.Address, Parting{Asker: f.Self.Address, Target: p.target})
+		}
+	}
+}
+
+// parted takes another foreman's word that all whom it serves go by it.
+func (f *Foreman) parted(now ticket.Tick, m Parted) {
+	for _, p := range f.partings {
+		if p.target.Instance == m.Instance && p.target.Sequence <= m.Sequence {
+			delete(p.waits, m.ID)
+		}
+	}
+	f.part(now)
 }
--- a/internal/ledger/acceptor.go
+++ b/internal/ledger/acceptor.go
@@ -132,6 +132,9 @@
 	s := a.slot(m.Key)
 	p := Promise{Key: m.Key, Store: a.store, Round: m.Round, Roster: m.Roster,
 		Promised: s.Promised, Accepted: s.Accepted, Value: s.Value}
+	if !m.Known.Zero() && m.Known == s.Accepted {
+		p.Value, p.Same = nil, true
+	}
 	if m.Peek || !s.Promised.Less(m.Ballot) {
 		a.Behind(works.Send{To: from, Msg: p})
 		return
--- a/internal/ledger/asker.go
+++ b/internal/ledger/asker.go
@@ -28,6 +28,8 @@
 	// stockrooms: one may decline a second try and still be busy with the first.
 	maybe map[uint32]bool
 	done  func(now ticket.Tick, s State, out []byte)
+	// have is the value that the asker holds, for a read that finds the same.
+	have []byte
 }
 
 // NewAsker makes an asker whose ids begin past a start's own number, so that
@@ -40,8 +42,19 @@
 
 // Want asks for an operation; done is called once, with how it ended.
 func (a *Asker) Want(now ticket.Tick, key ticket.Key, op Op, arg []byte, wait time.Duration, done func(ticket.Tick, State, []byte)) {
+	a.want(now, Ask{Key: key, Op: op, Arg: arg}, nil, wait, done)
+}
+
+// Reread reads a register whose value the asker already holds; where it is the
+// same still, no more than that is sent. sum is that of the value.
+func (a *Asker) Reread(now ticket.Tick, key ticket.Key, have []byte, sum uint64, wait time.Duration, done func(ticket.Tick, State, []byte)) {
+	a.want(now, Ask{Key: key, Op: Read, Have: sum}, have, wait, done)
+}
+
+func (a *Asker) want(now ticket.Tick, ask Ask, have []byte, wait time.Duration, done func(ticket.Tick, State, []byte)) {
 	a.next++
-	w := &wish{Ask: Ask{ID: a.next, Key: key, Op: op, Arg: arg}, due: now.Add(wait), done: done, maybe: map[uint32]bool{}}
+	ask.ID = a.next
+	w := &wish{Ask: ask, have: have, due: now.Add(wait), done: done, maybe: map[uint32]bool{}}
 	a.open[w.ID] = w
 	a.try(now, w)
 }
@@ -69,6 +82,9 @@
 	switch m.State {
 	case Done:
 		delete(a.open, m.ID)
+		if m.Same {
+			m.Out = w.have
+		}
 		w.done(now, Done, m.Out)
 	case Declined:
 		// Another stockroom may do better; one round through all, then a rest.
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -32,6 +32,9 @@
 	Roster uint64
 	Round  uint64
 	Peek   bool
+	// Known is the ballot of a value that the proposer has at hand; one who holds
+	// that very value needn't send it.
+	Known ticket.Ballot
 }
 
 // Promise answers Prepare. Promised above the asked ballot is a decline.
@@ -43,6 +46,8 @@
 	Promised ticket.Ballot
 	Accepted ticket.Ballot
 	Value    []byte
+	// Same: the value is left out, as it is that of the Known ballot.
+	Same bool
 }
 
 // Accept asks for a value to be kept, and with it for a promise to Next, so
@@ -82,6 +87,9 @@
 	Wait uint32
 	// Try counts the times it was sent; an answer speaks for that one alone.
 	Try uint32
+	// Have sums up the value that the asker holds; a read that finds the same
+	// says so and leaves it out. 0 for none.
+	Have uint64
 }
 
 // Told answers Ask.
@@ -90,6 +98,8 @@
 	State State
 	Out   []byte
 	Try   uint32
+	// Same: Out is left out, as the asker has it.
+	Same bool
 }
 
 // Op names a change function.
--- a/internal/ledger/proposer.go
+++ b/internal/ledger/proposer.go
@@ -29,9 +29,12 @@
 	Audience func(key ticket.Key) []ticket.Address
 	sheet    map[ticket.Key]*round
 	last     map[ticket.Key]held
-	order    []ticket.Key
-	count    uint64
-	high     uint64
+	// seen holds values of registers other than marks, by the ballot that they
+	// were last met under: they are large, and read far more often than changed.
+	seen  map[ticket.Key]held
+	order []ticket.Key
+	count uint64
+	high  uint64
 	// early counts the ballots of first values, all below those of rounds.
 	early uint64
 }
@@ -83,7 +86,7 @@
 func NewProposer(by uint64, roster func() Roster, ops map[Op]Func, dice *rand.Rand, out *works.Out) *Proposer {
 	return &Proposer{out: out, dice: dice, by: by, roster: roster, ops: ops,
 		Reached: func(uint64) bool { return true }, Audience: func(ticket.Key) []ticket.Address { return nil },
-		sheet: map[ticket.Key]*round{}, last: map[ticket.Key]held{}}
+		sheet: map[ticket.Key]*round{}, last: map[ticket.Key]held{}, seen: map[ticket.Key]held{}}
 }
 
 const (
@@ -184,7 +187,7 @@
 		switch r.phase {
 		case peeking, preparing:
 			if _, ok := r.promises[s.ID]; !ok {
-				p.out.Tell(s.Address, Prepare{Key: r.key, Ballot: r.ballot, Roster: ro.Number, Round: r.id, Peek: r.phase == peeking})
+				p.out.Tell(s.Address, Prepare{Key: r.key, Ballot: r.ballot, Roster: ro.Number, Round: r.id, Peek: r.phase == peeking, Known: p.seen[r.key].ballot})
 			}
 		case accepting, gracing:
 			if !r.yes[s.ID] {
@@ -204,7 +207,11 @@
 // finish answers the batch and goes on with what came meanwhile.
 func (p *Proposer) finish(now ticket.Tick, r *round) {
 	for _, a := range r.batch {
-		p.out.Tell(a.from, Told{ID: a.ID, Try: a.Try, State: Done, Out: a.out})
+		t := Told{ID: a.ID, Try: a.Try, State: Done, Out: a.out}
+		if a.Op == Read && a.Have != 0 && a.Have == Sum(a.out) {
+			t.Out, t.Same = nil, true
+		}
+		p.out.Tell(a.from, t)
 	}
 	r.batch, r.floor = nil, 0
 	p.begin(now, r)
--- a/internal/ledger/responses.go
+++ b/internal/ledger/responses.go
@@ -17,6 +17,16 @@
 		p.retreat(now, r, m.Promised)
 		return
 	}
+	if m.Same {
+		// What was at hand as the question left may have been replaced since.
+		s := p.seen[m.Key]
+		if s.ballot != m.Accepted {
+			r.floor = max(r.floor, m.Promised.Count)
+			p.begin(now, r)
+			return
+		}
+		m.Value = s.value
+	}
 	r.promises[m.Store] = m
 	top, settled := p.survey(r)
 	if r.phase == peeking {
@@ -46,6 +56,9 @@
 			top = m
 		}
 	}
+	if p.seen[r.key].ballot.Less(top.Accepted) {
+		p.meet(r.key, top.Accepted, top.Value)
+	}
 	same, all := map[uint64]bool{}, true
 	for _, s := range p.roster().All() {
 		m, said := r.promises[s.ID]
@@ -118,6 +131,7 @@
 	if r.phase == accepting {
 		r.phase, r.began = gracing, now
 		p.remember(r)
+		p.meet(r.key, r.ballot, r.value)
 		for _, to := range p.Audience(r.key) {
 			p.out.Tell(to, Chosen{Key: r.key, Value: r.value})
 		}
--- a/internal/ledger/roster.go
+++ b/internal/ledger/roster.go
@@ -18,6 +18,8 @@
 type Joining struct {
 	New  Store
 	Lost uint64
+	// Copies is how many stores the roster may grow to, where Lost is 0.
+	Copies int
 }
 
 // Number names the roster that a settling or abandoning is about.
@@ -48,12 +50,16 @@
 	if !ok || !fine || len(r.Next) > 0 || r.Has(j.New.ID) {
 		return old, old
 	}
-	at := slices.IndexFunc(r.Stores, func(s Store) bool { return s.ID == j.Lost })
-	if at < 0 {
+	r.Next = slices.Clone(r.Stores)
+	switch at := slices.IndexFunc(r.Stores, func(s Store) bool { return s.ID == j.Lost }); {
+	case at >= 0:
+		r.Next[at] = j.New
+	case j.Lost == 0 && len(r.Stores) < j.Copies:
+		// Nobody is lost: there are to be more copies than were founded with.
+		r.Next = append(r.Next, j.New)
+	default:
 		return old, old
 	}
-	r.Next = slices.Clone(r.Stores)
-	r.Next[at] = j.New
 	r.Number++
 	return write(old, r)
 }
--- a/internal/premises/foreman.go
+++ b/internal/premises/foreman.go
@@ -44,7 +44,7 @@
 // RunForeman runs a foreman until the context ends.
 func RunForeman(ctx context.Context, p ForemanParams) error {
 	log := hoist.NewLog(p.Log, p.Name)
-	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList()},
+	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList(), Thrifty: p.Thrifty},
 		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Regions: p.Regions, Thrifty: p.Thrifty, Always: p.Always, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
 	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
 	win := &window.Window{Log: log.Event}
--- a/internal/premises/stockroom.go
+++ b/internal/premises/stockroom.go
@@ -28,7 +28,10 @@
 // StockroomParams are what a stockroom is told at its start.
 type StockroomParams struct {
 	params.Common
-	Data string `help:"The data folder, held by this process alone." required:"" placeholder:"DIR"`
+	Data   string `help:"The data folder, held by this process alone." required:"" placeholder:"DIR"`
+	Copies int    `help:"How many stockrooms keep each item: one more than twice the disks that may be lost at once." default:"3"`
+	// Thrifty is as with foremen.
+	Thrifty bool `kong:"-"`
 }
 
 // live runs a daemon's services while its pages are served, then lets go.
@@ -141,8 +144,8 @@
 	if disk.SetAside != "" {
 		log.Event("error", "damaged database set aside, joining as blank", "kept", disk.SetAside)
 	}
-	m := stockroom.New(stockroom.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Stockroom), Seeds: p.SeedList()},
-		Store: disk.Store, Run: disk.Run, Shelf: disk, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
+	m := stockroom.New(stockroom.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Stockroom), Seeds: p.SeedList(), Thrifty: p.Thrifty},
+		Copies: p.Copies, Store: disk.Store, Run: disk.Run, Shelf: disk, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
 	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
 	c := &committer{shelf: disk, log: log, inbox: make(chan works.Settle, 1<<16)}
 	disk.Broken = c.fatal
--- a/internal/rollcall/clock.go
+++ b/internal/rollcall/clock.go
@@ -47,6 +47,10 @@
 }
 
 func (r *Roll) spread() {
+	if r.Thrifty {
+		// What changed is relayed with the next clock event.
+		return
+	}
 	all := r.All()
 	for _, m := range all {
 		if m.ID != r.Self.ID && !m.Gone {
@@ -58,6 +62,9 @@
 // Clock does what time asks for.
 func (r *Roll) Clock(now ticket.Tick) {
 	defer r.publish()
+	if r.Self.Role != Foreman {
+		r.changed = nil
+	}
 	if now < r.beat {
 		return
 	}
@@ -109,16 +116,30 @@
 	}
 }
 
+// strangers gives the seeds that aren't known: all, or one in turn once others
+// are, so that a fleet that starts as one doesn't drown its seeds.
+func (r *Roll) strangers(known map[ticket.Address]bool) []ticket.Address {
+	var out []ticket.Address
+	for _, s := range r.Seeds {
+		if !known[s] {
+			out = append(out, s)
+		}
+	}
+	if r.Thrifty && len(out) > 1 && len(r.members) > 1 {
+		r.knocks++
+		return out[r.knocks%len(out):][:1]
+	}
+	return out
+}
+
 // call greets seeds and, in turn, one of the gone, so that halves rejoin.
 func (r *Roll) call(stand []Member) {
 	known := map[ticket.Address]bool{r.Self.Address: true}
 	for _, m := range stand {
 		known[m.Address] = true
 	}
-	for _, s := range r.Seeds {
-		if !known[s] {
-			r.out.Tell(s, Heartbeat{Self: r.Self, Digest: r.sum()})
-		}
+	for _, s := range r.strangers(known) {
+		r.out.Tell(s, Heartbeat{Self: r.Self, Digest: r.sum()})
 	}
 	var lost []Member
 	for _, m := range r.All() {
--- a/internal/rollcall/member.go
+++ b/internal/rollcall/member.go
@@ -76,6 +76,17 @@
 	Final   bool
 }
 
+// Outline sums up a roll part by part, so that only the parts that differ are
+// sent.
+type Outline struct{ Parts []uint64 }
+
+// Portion holds the members of some parts. Final asks for nothing in return.
+type Portion struct {
+	Parts   []uint16
+	Members []Member
+	Final   bool
+}
+
 // Suspect is a watcher's word to the foremen.
 type Suspect struct {
 	Watcher     ticket.Daemon
@@ -83,7 +94,8 @@
 	Incarnation ticket.Incarnation
 }
 
-var _ = parcel.Register(10, Heartbeat{}) && parcel.Register(11, Copy{}) && parcel.Register(12, Suspect{})
+var _ = parcel.Register(10, Heartbeat{}) && parcel.Register(11, Copy{}) && parcel.Register(12, Suspect{}) &&
+	parcel.Register(13, Outline{}) && parcel.Register(14, Portion{})
 
 // Params are the options of a roll; zero ones take the defaults.
 type Params struct {
@@ -92,6 +104,9 @@
 	Watchers int
 	Beat     time.Duration
 	Silence  time.Duration
+	// Thrifty: what a daemon tells of the roll doesn't grow with the fleet. Copies
+	// that differ are compared part by part, and foremen relay what changed.
+	Thrifty bool
 }
 
 func (p *Params) fill() {
@@ -114,8 +129,12 @@
 
 // ring orders members by their place; ids break ties.
 func ring(members []Member) {
+	at := make(map[ticket.Daemon]uint64, len(members))
+	for _, m := range members {
+		at[m.ID] = place(m.ID)
+	}
 	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(place(a.ID), place(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(at[a.ID], at[b.ID]), cmp.Compare(a.ID, b.ID))
 	})
 }
 
--- a/internal/rollcall/roll.go
+++ b/internal/rollcall/roll.go
@@ -23,8 +23,15 @@
 	knock   ticket.Tick
 	digest  uint64
 	dirty   bool
-	version uint64
-	shown   uint64
+	// all and stood are the members in order of id, and those standing in order
+	// of the ring; nil once they have to be drawn up anew.
+	all, stood []Member
+	parts      [parts]uint64
+	knocks     int
+	asked      map[ticket.Daemon]ticket.Tick
+	changed    []ticket.Daemon
+	version    uint64
+	shown      uint64
 	// MayJudge, if set, tells whether this foreman may count others as gone.
 	MayJudge func(now ticket.Tick) bool
 	page     atomic.Pointer[page]
@@ -39,26 +46,42 @@
 func New(p Params, out *works.Out) *Roll {
 	p.fill()
 	p.Self.Sequence = 1
-	r := &Roll{Params: p, out: out, dirty: true,
+	r := &Roll{Params: p, out: out, dirty: true, asked: map[ticket.Daemon]ticket.Tick{},
 		members: map[ticket.Daemon]Member{p.Self.ID: p.Self},
 		heard:   map[ticket.Daemon]ticket.Tick{},
 		doubts:  map[ticket.Daemon]map[ticket.Daemon]doubt{}}
+	r.parts[part(p.Self.ID)] ^= imprint(p.Self)
 	return r
 }
 
 // Announce changes what this daemon says of itself.
 func (r *Roll) Announce(ready bool, holds ticket.Revision) {
-	if r.Self.Ready == ready && r.Self.Holds == holds {
+	// Which policy a daemon holds is known from acknowledgements; told of each
+	// change by everybody, it would cost the square of the fleet.
+	if r.Self.Ready == ready && (r.Self.Holds == holds || r.Thrifty) {
+		r.Self.Holds = holds
 		return
 	}
 	r.Self.Ready, r.Self.Holds = ready, holds
 	r.Self.Sequence++
 	r.set(r.Self)
+	if r.Thrifty {
+		for _, f := range r.Live(Foreman) {
+			r.introduce(f)
+		}
+	}
 }
 
 func (r *Roll) set(m Member) {
+	if old, ok := r.members[m.ID]; ok {
+		r.parts[part(m.ID)] ^= imprint(old)
+	}
+	r.parts[part(m.ID)] ^= imprint(m)
 	r.members[m.ID] = m
-	r.dirty = true
+	r.dirty, r.all, r.stood = true, nil, nil
+	if r.Thrifty {
+		r.changed = append(r.changed, m.ID)
+	}
 	r.version++
 }
 
@@ -67,7 +90,10 @@
 
 // All gives every member known, in order of id.
 func (r *Roll) All() []Member {
-	return slices.SortedFunc(maps.Values(r.members), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	if r.all == nil {
+		r.all = slices.SortedFunc(maps.Values(r.members), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return r.all[:len(r.all):len(r.all)]
 }
 
 // Live gives the members of a role that are not gone, in the agreed order.
@@ -94,19 +120,23 @@
 }
 
 func (r *Roll) standing() []Member {
-	var out []Member
-	for _, m := range r.members {
-		if !m.Gone {
-			out = append(out, m)
+	if r.stood == nil {
+		for _, m := range r.members {
+			if !m.Gone {
+				r.stood = append(r.stood, m)
+			}
 		}
+		ring(r.stood)
 	}
-	ring(out)
-	return out
+	return r.stood[:len(r.stood):len(r.stood)]
 }
 
 func (r *Roll) sum() uint64 {
 	if r.dirty {
-		r.digest, r.dirty = sum(r.All()), false
+		r.digest, r.dirty = r.fold(), false
+		if !r.Thrifty {
+			r.digest = sum(r.All())
+		}
 	}
 	return r.digest
 }
@@ -137,8 +167,12 @@
 		delete(r.doubts, m.Self.ID)
 		// Copies that differ merge at once rather than in rounds.
 		if m.Digest != r.sum() {
-			r.out.Tell(m.Self.Address, Copy{Members: r.All()})
+			r.differ(now, m.Self)
 		}
+	case Outline:
+		r.compare(from, m)
+	case Portion:
+		r.take(from, m)
 	case Copy:
 		r.merge(m.Members)
 		if !m.Final && sum(m.Members) != r.sum() {
@@ -160,6 +194,9 @@
 		}
 		if have, ok := r.members[m.ID]; !ok || m.newer(have) {
 			r.set(m)
+			if r.Thrifty && m.Role == Foreman && !m.Gone && (!ok || have.Start != m.Start || have.Gone) {
+				r.introduce(m)
+			}
 		}
 	}
 }
@@ -184,34 +221,3 @@
 	}
 	r.doubts[s.ID][s.Watcher] = doubt{s.Incarnation, now}
 }
-
-// page is the roll as readers outside the owner may see it.
-type page struct {
-	self    Member
-	members []Member
-}
-
-// publish puts out a fresh page after a change; the owner calls it.
-func (r *Roll) publish() {
-	if r.shown == r.version && r.page.Load() != nil {
-		return
-	}
-	r.shown = r.version
-	r.page.Store(&page{r.Self, r.All()})
-}
-
-// Me gives this daemon's own entry; safe from any thread.
-func (r *Roll) Me() (Member, bool) {
-	if p := r.page.Load(); p != nil {
-		return p.self, true
-	}
-	return Member{}, false
-}
-
-// Members gives the whole roll; safe from any thread.
-func (r *Roll) Members() []Member {
-	if p := r.page.Load(); p != nil {
-		return p.members
-	}
-	return nil
-}
--- a/internal/rounds/rounds.go
+++ b/internal/rounds/rounds.go
@@ -57,6 +57,8 @@
 	out   *works.Out
 	start ticket.Start
 	list  map[ticket.Daemon]*account
+	// WordEvery is how often a counter hears from us where nothing is new.
+	WordEvery time.Duration
 }
 
 type account struct {
@@ -85,7 +87,7 @@
 
 // New makes empty accounts.
 func New(start ticket.Start, out *works.Out) *Rounds {
-	return &Rounds{out: out, start: start, list: map[ticket.Daemon]*account{}}
+	return &Rounds{out: out, start: start, WordEvery: wordEvery, list: map[ticket.Daemon]*account{}}
 }
 
 const (
@@ -97,14 +99,25 @@
 // Consignment is what there is to deliver.
 type Consignment struct {
 	Revision ticket.Revision
-	Policy   []byte
-	Targets  []yard.Target
-	Version  uint64
-	Age      time.Duration
+	// Policy gives what leads to the revision from an earlier one.
+	Policy func(from ticket.Revision) []byte
+	// Targets gives all targets.
+	Targets func() []yard.Target
+	Version uint64
+	Age     time.Duration
 }
 
 // Go makes the round over the live counters.
 func (r *Rounds) Go(now ticket.Tick, counters []rollcall.Member, load Consignment) {
+	// Drawn up once a round, and only if anybody lacks anything.
+	var all []yard.Target
+	draw := load.Targets
+	load.Targets = func() []yard.Target {
+		if all == nil {
+			all = draw()
+		}
+		return all
+	}
 	for _, c := range counters {
 		a := r.list[c.ID]
 		// A counter's new run has nothing: it gets a snapshot.
@@ -119,18 +132,18 @@
 func (r *Rounds) deliver(now ticket.Tick, c rollcall.Member, a *account, load Consignment) {
 	old := a.seen != load.Version || a.revision < load.Revision
 	owed := len(a.open) > 0 || a.revision < load.Revision
-	due := a.seen != load.Version || (a.told == 0 && a.echo != 0) || (owed && now.Since(a.sent) >= resendAfter) || now.Since(a.sent) >= wordEvery
+	due := a.seen != load.Version || (a.told == 0 && a.echo != 0) || (owed && now.Since(a.sent) >= resendAfter) || now.Since(a.sent) >= r.WordEvery
 	if !due {
 		return
 	}
 	a.number++
 	p := Push{Number: a.number, Start: r.start, Revision: load.Revision, Echo: a.echo, For: a.start, Age: uint32(min(load.Age/time.Millisecond, 1<<30))}
 	if a.revision < load.Revision {
-		p.Policy = load.Policy
+		p.Policy = load.Policy(a.revision)
 	}
 	var in []stamp
 	if old || owed {
-		for _, t := range load.Targets {
+		for _, t := range load.Targets() {
 			if a.has[t.Instance] != stampOf(t) {
 				p.Targets = append(p.Targets, t)
 				in = append(in, stampOf(t))
--- a/internal/rounds/rounds_test.go
+++ b/internal/rounds/rounds_test.go
@@ -19,7 +19,8 @@
 	var out works.Out
 	r := New(7, &out)
 	c := []rollcall.Member{{ID: "c1", Address: "c1", Start: 1}}
-	load := Consignment{Revision: 3, Policy: []byte("p3"), Version: 1, Targets: []yard.Target{{Instance: "a", Sequence: 1}}}
+	targets := []yard.Target{{Instance: "a", Sequence: 1}}
+	load := Consignment{Revision: 3, Policy: func(ticket.Revision) []byte { return []byte("p3") }, Version: 1, Targets: func() []yard.Target { return targets }}
 	push := func(ms int) []Push {
 		r.Go(at(ms), c, load)
 		var list []Push
@@ -41,7 +42,7 @@
 	is.Equal(len(r.Lag(c, 3)), 0)
 	is.True(r.Fresh(at(220), c[0], time.Second))
 	// Once it has all, only what changed goes, with the counter's time echoed.
-	load.Targets = append(load.Targets, yard.Target{Instance: "b", Sequence: 1})
+	targets = append(targets, yard.Target{Instance: "b", Sequence: 1})
 	load.Version++
 	next := push(230)
 	is.Equal(len(next), 1)
--- a/internal/stockroom/keeper.go
+++ b/internal/stockroom/keeper.go
@@ -13,14 +13,16 @@
 
 // keeper founds the roster, and brings newcomers into it.
 type keeper struct {
-	seeds  []ticket.Address
-	met    map[ticket.Address]meeting
-	asks   uint64
-	next   ticket.Tick
-	found  ticket.Tick
-	held   ledger.Held
-	gone   map[uint64]ticket.Tick
-	copies map[uint64]*transfer
+	seeds []ticket.Address
+	met   map[ticket.Address]meeting
+	asks  uint64
+	next  ticket.Tick
+	found ticket.Tick
+	held  ledger.Held
+	gone  map[uint64]ticket.Tick
+	pages map[uint64]*transfer
+	// copies is how many stores there are to be.
+	copies int
 	// agreed is when this store last read the roster from a majority.
 	agreed ticket.Tick
 	// refoundAt is when an ordered refounding is due.
--- a/internal/stockroom/newcomer.go
+++ b/internal/stockroom/newcomer.go
@@ -47,6 +47,9 @@
 			return
 		}
 	}
+	if len(ro.Stores) < s.copies {
+		s.ask(ledger.OpJoin, ledger.Joining{New: s.self(), Copies: s.copies})
+	}
 }
 
 // fetch copies every item from the old members while the roster is joint, and
@@ -57,13 +60,13 @@
 		return
 	}
 	if s.copyOf != ro.Number {
-		s.copyOf, s.copies = ro.Number, map[uint64]*transfer{}
+		s.copyOf, s.pages = ro.Number, map[uint64]*transfer{}
 		for _, st := range ro.Stores {
-			s.copies[st.ID] = &transfer{}
+			s.pages[st.ID] = &transfer{}
 		}
 	}
 	done := map[uint64]bool{}
-	for id, t := range s.copies {
+	for id, t := range s.pages {
 		done[id] = t.done
 	}
 	if old.Majority(done) {
@@ -83,13 +86,13 @@
 
 // turn asks one old member for its next page.
 func (s *Stockroom) turn(st ledger.Store) {
-	if t := s.copies[st.ID]; t != nil && !t.done {
+	if t := s.pages[st.ID]; t != nil && !t.done {
 		s.Tell(st.Address, ledger.Page{Roster: s.copyOf, After: t.after, Number: t.number})
 	}
 }
 
 func (s *Stockroom) leaves(m ledger.Leaves) {
-	t := s.copies[m.Store]
+	t := s.pages[m.Store]
 	if t == nil || m.Roster != s.copyOf || m.Number != t.number || t.done {
 		return
 	}
--- a/internal/stockroom/stockroom.go
+++ b/internal/stockroom/stockroom.go
@@ -25,6 +25,8 @@
 	Run   uint64
 	Dice  *rand.Rand
 	Shelf ledger.Shelf
+	// Copies is how many stores keep each item, 3 or more.
+	Copies int
 }
 
 // Stockroom is the machine.
@@ -76,6 +78,7 @@
 	s.Proposer.Reached = s.live
 	s.Proposer.Audience = s.audience
 	s.keeper = newKeeper(founders)
+	s.keeper.copies = p.Copies
 	return s
 }
 
--- a/internal/yard/yard.go
+++ b/internal/yard/yard.go
@@ -31,6 +31,10 @@
 	// Cold is how much longer, in milliseconds, the target says it bears little,
 	// as of when the entry was last handed on.
 	Cold uint64 `json:"cold_ms"`
+	// Keeper is the foreman that the target last spoke to, in which of its runs:
+	// while it is there, the others needn't be told that the target is.
+	Keeper ticket.Daemon `json:"-"`
+	Run    ticket.Start  `json:"-"`
 }
 
 // Newer tells whether t replaces u. A verdict of "gone" holds until the
@@ -61,6 +65,8 @@
 	// Thrifty: a word that says nothing new but that its target is there is noted
 	// and not handed on, so that what is told of targets doesn't grow with beats.
 	Thrifty bool
+	// Self is the foreman whose copy this is, if it is one's.
+	Self ticket.Daemon
 }
 
 type entry struct {
@@ -71,6 +77,8 @@
 	// anything new; cold is until when it bears little.
 	newest ticket.Sequence
 	cold   ticket.Tick
+	// orphan: its keeper isn't there, so that its silence may be the keeper's.
+	orphan bool
 }
 
 // New makes an empty yard.
@@ -92,6 +100,12 @@
 	for _, t := range list {
 		e, known := y.list[t.Instance]
 		if known && !t.Newer(e.last()) {
+			if y.Thrifty && e.insists(t) {
+				// Others go by a verdict that this copy knows to be wrong.
+				e.Target.Sequence = e.newest
+				y.version++
+				changed = append(changed, e.Target)
+			}
 			continue
 		}
 		if known && y.Thrifty && e.alike(now, t) {
@@ -173,7 +187,11 @@
 	var out []Target
 	for _, id := range slices.Sorted(maps.Keys(y.list)) {
 		e := y.list[id]
-		if e.Gone || now.Since(e.heard) <= Silences*time.Duration(e.Interval)*time.Millisecond {
+		silences := time.Duration(Silences)
+		if e.orphan {
+			silences = orphanSilences
+		}
+		if e.Gone || now.Since(e.heard) <= silences*time.Duration(e.Interval)*time.Millisecond {
 			continue
 		}
 		e.Gone = true
