The spill acts by set points that follow from what targets state; outliers by requests

Targets that fail a part of their requests, or forget idle circuits sooner than they say, were used like any other.

What is found dead as it is used shortens how long a circuit may idle for requests that can't be sent again.

--- a/internal/catalogue/policy.go
+++ b/internal/catalogue/policy.go
@@ -70,12 +70,14 @@
 // Cell is a zone: its region, its set points in ms of CPU a second, and
 // whether it is emptied.
 type Cell struct {
-	Name       ticket.Name `json:"-"`
-	Region     string      `json:"region"`
-	Target     float64     `json:"target"`
-	Acceptable float64     `json:"acceptable"`
-	Maximum    float64     `json:"maximum"`
-	Emptied    bool        `json:"emptied"`
+	Name   ticket.Name `json:"-"`
+	Region string      `json:"region"`
+	Target float64     `json:"target"`
+	// Unnamed: no operator named a target level.
+	Unnamed    bool    `json:"-"`
+	Acceptable float64 `json:"acceptable"`
+	Maximum    float64 `json:"maximum"`
+	Emptied    bool    `json:"emptied"`
 	// Shut: nothing more is sent to the cell's targets, while its counters go on
 	// serving from the targets of other cells.
 	Shut      bool                        `json:"shut"`
--- a/internal/catalogue/view.go
+++ b/internal/catalogue/view.go
@@ -40,9 +40,12 @@
 		_ = json.Unmarshal(p.Limits[n].Body, &v.Limits)
 	}
 	for n, it := range p.Cells {
-		c := Cell{Target: defaultTarget}
+		c := Cell{}
 		_ = json.Unmarshal(it.Body, &c)
 		c.Name = n
+		if c.Target == 0 {
+			c.Target, c.Unnamed = defaultTarget, true
+		}
 		if c.Maximum == 0 {
 			c.Maximum = c.Target * 1.1
 		}
@@ -60,7 +63,7 @@
 	for n, region := range regions {
 		c, ok := v.Cells[n]
 		if !ok {
-			c = Cell{Name: n, Target: defaultTarget, Acceptable: defaultTarget * 0.8, Maximum: defaultTarget * 1.1}
+			c = Cell{Name: n, Unnamed: true, Target: defaultTarget, Acceptable: defaultTarget * 0.8, Maximum: defaultTarget * 1.1}
 		}
 		if c.Region == "" {
 			c.Region = region
--- a/internal/counter/carry.go
+++ b/internal/counter/carry.go
@@ -81,12 +81,16 @@
 		back.How = desk.Maybe
 	}
 	if err != nil {
+		d.circuits.dead(line)
 		line.Close()
 		back.Why = "sending: " + err.Error()
 		return back
 	}
 	v, err := d.sealed(line, c, f)
 	if err != nil {
+		if !line.heard {
+			d.circuits.dead(line)
+		}
 		line.Close()
 		back.Why = err.Error()
 		return back
--- /dev/null
+++ b/internal/counter/circuit.go
@@ -0,0 +1,58 @@
+package counter
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"dunlinwell/internal/ticket"
+)
+
+// circuit is one held circuit to a target that has shown who it is.
+type circuit struct {
+	net.Conn
+	read  *bufio.Reader
+	idled ticket.Tick
+	// usable is how long it may be idle and still be used.
+	usable time.Duration
+	// reused is how long it had been idle before the request now on it; 0 for a
+	// new circuit.
+	reused time.Duration
+	// heard: something came back for the request now on it, or its time ran out
+	// in silence.
+	heard bool
+}
+
+// Read notes whether anything came back: a circuit that ends before that was
+// dead as it was used.
+func (c *circuit) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	var slow net.Error
+	if n > 0 || errors.As(err, &slow) && slow.Timeout() {
+		c.heard = true
+	}
+	return n, err
+}
+
+// quiet looks, without taking anything, whether the peer closed or spoke out
+// of turn; either way the circuit is no good.
+func (c *circuit) quiet() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok || c.read.Buffered() > 0 {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- a/internal/counter/circuits.go
+++ b/internal/counter/circuits.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -30,15 +31,6 @@
 	Incarnation ticket.Incarnation `json:"incarnation"`
 }
 
-// circuit is one held circuit to a target that has shown who it is.
-type circuit struct {
-	net.Conn
-	read  *bufio.Reader
-	idled ticket.Tick
-	// usable is how long it may be idle and still be used.
-	usable time.Duration
-}
-
 // circuits keeps idle circuits by target. net/http's Transport is not used
 // here: it resends by itself on a dead circuit, and then an order runs twice.
 type circuits struct {
@@ -49,6 +41,9 @@
 	greets bool
 	// dialWithin bounds the opening of a circuit.
 	dialWithin time.Duration
+	// fresh is how long a circuit may have been idle for a careful request, as
+	// learned from those that were found dead; 0 for the most there is.
+	fresh time.Duration
 }
 
 const (
@@ -57,7 +52,8 @@
 	dialTarget = time.Second
 	// carefulIdle is how long a circuit may have been idle where what is lost on
 	// a dead one can't be sent again.
-	carefulIdle = 1500 * time.Millisecond
+	carefulIdle  = 1500 * time.Millisecond
+	carefulLeast = 20 * time.Millisecond
 	// idleMargin is how much sooner than its target a circuit is given up.
 	idleMargin = 1500 * time.Millisecond
 	// ackWithin is how long what was sent may go without the target machine's
@@ -79,32 +75,38 @@
 		p.idle[id] = list[:len(list)-1]
 		p.mu.Unlock()
 		idled := hoist.Now().Since(c.idled)
-		if idled < c.usable && !(careful && idled > carefulIdle) && c.quiet() {
+		if idled < c.usable && !(careful && idled > p.careful()) && c.quiet() {
+			c.reused, c.heard = idled, false
 			return c
 		}
 		c.Close()
 	}
 }
 
-// quiet looks, without taking anything, whether the peer closed or spoke out
-// of turn; either way the circuit is no good.
-func (c *circuit) quiet() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok || c.read.Buffered() > 0 {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = e == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
+func (p *circuits) careful() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return cmp.Or(p.fresh, carefulIdle)
+}
+
+// dead notes that a circuit that had been idle was gone as it was used: targets
+// may forget circuits sooner than they say, and what is lost so can't be sent
+// again. recover, now and then, trusts them a little longer.
+func (p *circuits) dead(c *circuit) {
+	if c.reused == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fresh = max(min(c.reused/2, cmp.Or(p.fresh, carefulIdle)), carefulLeast)
+}
+
+func (p *circuits) recover() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fresh > 0 {
+		p.fresh = min(p.fresh*5/4, carefulIdle)
+	}
 }
 
 // keep holds a circuit for later, unless there are enough.
@@ -162,7 +164,8 @@
 	if err != nil {
 		return nil, problem.At(err, "dial target", string(t.Address))
 	}
-	c := &circuit{Conn: conn, read: bufio.NewReader(conn)}
+	c := &circuit{Conn: conn}
+	c.read = bufio.NewReader(c)
 	if !p.greets {
 		return c, nil
 	}
--- a/internal/counter/edge.go
+++ b/internal/counter/edge.go
@@ -55,9 +55,13 @@
 }
 
 // Handled adds a request to the meter: the counter's own handling, and its
-// front-line latency, which leaves the target's time out.
-func (d *Daemon) Handled(c *Cargo, handling, front time.Duration) {
+// front-line latency, which leaves the target's time out; ferried is that time.
+func (d *Daemon) Handled(c *Cargo, handling, front, ferried time.Duration) {
 	d.meter.handled(c.Job.Route, c.Job.Service, handling, front)
+	if d.Params.ByCell {
+		// Targets that state no CPU time of their own: their time is what it costs.
+		d.meter.spent(c.Job.Route, c.Job.Service, ferried)
+	}
 }
 
 // serve serves the daemon's pages and its consumers, until the grace after the
--- a/internal/counter/meter.go
+++ b/internal/counter/meter.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// spent adds a target's time for one request.
+func (m *meter) spent(route, service ticket.Name, span time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.at2(route, service).target += float64(span) / float64(time.Millisecond)
+}
+
 // target adds what a target states in Server-Timing as cpu;dur=ms.
 func (m *meter) target(route, service ticket.Name, lines []string) {
 	for _, line := range lines {
--- a/internal/counter/run.go
+++ b/internal/counter/run.go
@@ -67,6 +67,7 @@
 			}
 		case <-report.C:
 			d.circuits.sweep()
+			d.circuits.recover()
 			d.owner.Put(d.meter.read())
 			d.sayReasons()
 		}
--- a/internal/desk/spot.go
+++ b/internal/desk/spot.go
@@ -23,6 +23,7 @@
 	// full is how full the target last said it is, beyond its slots, and when.
 	load   float64
 	loadAt ticket.Tick
+	outlier
 }
 
 // take notes a request that goes there.
@@ -50,12 +51,16 @@
 func (s *spot) came(now ticket.Tick, e Back) {
 	switch e.How {
 	case NotSent, Maybe:
-		s.rest = now.Add(restFor)
+		s.rest = max(s.rest, now.Add(restFor))
 	case NotRun:
 		s.rest = now.Add(restFull)
 	case Foreign:
 		s.rest = now.Add(restForeign)
 	}
+	if e.How != NotRun && e.How != Foreign {
+		bad := e.How != Sealed || e.Response.Status >= 500
+		s.rest = max(s.rest, s.outlier.seen(now, bad))
+	}
 	if e.Told && e.Slots > 0 {
 		s.load, s.loadAt = float64(e.Running+e.Waiting)/float64(e.Slots), now
 	}
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -44,7 +44,8 @@
 		ID       uint64
 		Instance ticket.Instance
 	}
-	// AnnounceCall is a target's word.
+	// AnnounceCall is a target's word; its answer names the foreman that is to
+	// have its next ones.
 	AnnounceCall struct {
 		ID     uint64
 		Target yard.Target
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -31,6 +31,8 @@
 	Thrifty bool
 	// Always: the directory names somebody wherever it knows anybody.
 	Always bool
+	// Derive: set points that nobody named follow from what targets state.
+	Derive bool
 }
 
 func (p *Params) fill() {
@@ -90,6 +92,10 @@
 	f.Asker = ledger.NewAsker(p.Self.Start, &f.Out)
 	f.Asker.Order = f.stores
 	f.Rounds = rounds.New(p.Self.Start, &f.Out)
+	if p.Derive {
+		// Two reports and more, of a plan's period each.
+		f.Books.Span = 2*p.PlanEvery + 100*time.Millisecond
+	}
 	if p.Thrifty {
 		f.Rounds.WordEvery = time.Second
 	}
--- a/internal/foreman/leaving.go
+++ b/internal/foreman/leaving.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dunlinwell/internal/rollcall"
 	"dunlinwell/internal/ticket"
 	"dunlinwell/internal/yard"
 )
@@ -36,7 +37,11 @@
 		f.part(now)
 		return
 	}
-	f.Do(Response{ID: c.ID, Status: 200, Body: map[string]any{"known": len(changed) > 0}})
+	body := map[string]any{"known": len(changed) > 0}
+	if at := f.keeperFor(now, c.Target); at != "" {
+		body["keeper"] = at
+	}
+	f.Do(Response{ID: c.ID, Status: 200, Body: body})
 }
 
 // shareTargets keeps the other foremen up to date with all targets. Thrifty ones
@@ -68,6 +73,24 @@
 	f.tellForemen(insist)
 }
 
+// keeperFor names the foreman that a target should speak to: one of its own
+// cell or region, so that its words go no further than they have to, and by lot
+// where several stand as near.
+func (f *Foreman) keeperFor(now ticket.Tick, t yard.Target) ticket.Address {
+	if !f.params.Thrifty {
+		return ""
+	}
+	f.served(now)
+	var best rollcall.Member
+	for _, m := range f.group {
+		d, have := f.view.Distance(t.Cell, m.Cell), f.view.Distance(t.Cell, best.Cell)
+		if best.ID == "" || d < have || d == have && lot(ticket.Daemon(t.Instance), m.ID) < lot(ticket.Daemon(t.Instance), best.ID) {
+			best = m
+		}
+	}
+	return best.Address
+}
+
 // gone takes a target's word that it ends, where it says no more than its name.
 func (f *Foreman) gone(now ticket.Tick, c GoneCall) {
 	t, ok := f.Yard.Get(now, c.Instance)
--- a/internal/foreman/plans.go
+++ b/internal/foreman/plans.go
@@ -143,10 +143,16 @@
 // cells draws up every cell of the policy as of now.
 func (f *Foreman) cells(now ticket.Tick) map[ticket.Name]haulage.Cell {
 	seats, ranks := f.seats(), f.ranks()
+	bears := f.bears(now)
 	out := map[ticket.Name]haulage.Cell{}
 	for n, c := range f.view.Cells {
 		h := f.Books.Cell(now, n, seats, ranks)
 		h.Target, h.Acceptable, h.Maximum, h.Emptied = c.Target, c.Acceptable, c.Maximum, c.Emptied
+		if c.Unnamed && f.params.Derive {
+			f.derive(&h, bears[n])
+			out[n] = h
+			continue
+		}
 		if fit, ok := f.fits[n]; ok && fit.Kept {
 			h.Maximum = max(fit.Maximum, c.Target*1.02)
 		}
@@ -161,6 +167,9 @@
 	v := haulage.View{Distance: f.view.Distance, Ranks: f.ranks(),
 		Pending: map[ticket.Name]float64{}, Leaving: map[ticket.Name]float64{}}
 	for n, c := range f.view.Cells {
+		if c.Unnamed && f.params.Derive {
+			continue
+		}
 		f.fits[n] = haulage.Learn(f.Books.Samples(n), c.Target, c.Maximum)
 	}
 	now0 := f.cells(now)
@@ -173,7 +182,7 @@
 	}
 	moves := haulage.Plan(v, f.table.Moves)
 	f.predict(now, now0, f.table.Moves, moves)
-	f.table = haulage.Table{Epoch: f.mine, Number: f.table.Number + 1, Moves: moves}
+	f.table = haulage.Table{Epoch: f.mine, Number: f.table.Number + 1, Moves: moves, Uses: f.Books.Uses(moves)}
 	f.tableAt = now
 	f.Say("info", "planned", "epoch", itoa(uint64(f.mine)), "number", itoa(uint64(f.table.Number)), "moves", itoa(uint64(len(moves))))
 }
--- a/internal/foreman/where.go
+++ b/internal/foreman/where.go
@@ -46,7 +46,7 @@
 			list = append(list, n)
 		}
 	}
-	return f.Books.Draw(c.Cell, list, f.params.Dice.Float64())
+	return f.table.Draw(c.Cell, list, f.params.Dice.Float64())
 }
 
 // anybody names counters by the roll alone, nearest cells first: a foreman that
--- a/internal/haulage/haulage.go
+++ b/internal/haulage/haulage.go
@@ -71,6 +71,15 @@
 	Epoch  ticket.Epoch
 	Number ticket.Number
 	Moves  []Move
+	// Uses are what routes use in cells that hand something on, for asks that
+	// stand for several routes.
+	Uses []Use
+}
+
+// Use is what fresh circuits of a route use in a cell, in ms a second.
+type Use struct {
+	Cell, Route ticket.Name
+	CPU         float64
 }
 
 // UnderEpoch puts the epoch into the frame's head.
--- a/internal/haulage/report.go
+++ b/internal/haulage/report.go
@@ -45,6 +45,8 @@
 	samples map[ticket.Name][]Sample
 	demand  map[ticket.Name]map[ticket.Name]float64
 	missed  map[ticket.Name]int
+	// Span is what the planner averages over.
+	Span time.Duration
 }
 
 // entry is a counter's newest report, and the earlier ones of the span that
@@ -78,7 +80,7 @@
 // NewBooks makes empty books.
 func NewBooks() *Books {
 	return &Books{last: map[ticket.Daemon]entry{}, samples: map[ticket.Name][]Sample{},
-		demand: map[ticket.Name]map[ticket.Name]float64{}, missed: map[ticket.Name]int{}}
+		demand: map[ticket.Name]map[ticket.Name]float64{}, missed: map[ticket.Name]int{}, Span: span}
 }
 
 const mostSamples = 500
@@ -92,7 +94,7 @@
 	if old, ok := b.last[r.Counter]; ok && old.Start == r.Start {
 		past := append([]entry{{Report: old.Report, at: old.at}}, old.past...)
 		for _, p := range past {
-			if now.Since(p.at) < span {
+			if now.Since(p.at) < b.Span {
 				e.past = append(e.past, p)
 			}
 		}
@@ -207,20 +209,36 @@
 	return sum
 }
 
-// Draw picks one of some routes by what each uses in a cell, with a draw from 0
-// up to 1; the first where nothing is known.
-func (b *Books) Draw(cell ticket.Name, routes []ticket.Name, draw float64) ticket.Name {
-	if len(routes) == 0 {
-		return ""
+// Uses gives what each route uses in the cells that some moves are from.
+func (b *Books) Uses(moves []Move) []Use {
+	var out []Use
+	seen := map[ticket.Name]bool{}
+	for _, m := range moves {
+		if seen[m.From] {
+			continue
+		}
+		seen[m.From] = true
+		for _, n := range slices.Sorted(maps.Keys(b.demand[m.From])) {
+			out = append(out, Use{m.From, n, b.demand[m.From][n]})
+		}
 	}
-	sum := 0.0
-	for _, n := range routes {
-		sum += b.demand[cell][n]
+	return out
+}
+
+// Draw picks one of some routes by what each uses in a cell, with a draw from 0
+// up to 1; none where nothing is known, as nothing is moved there.
+func (t Table) Draw(cell ticket.Name, routes []ticket.Name, draw float64) ticket.Name {
+	sum, own := 0.0, []Use{}
+	for _, u := range t.Uses {
+		if u.Cell == cell && slices.Contains(routes, u.Route) {
+			own = append(own, u)
+			sum += u.CPU
+		}
 	}
-	for _, n := range routes {
-		if draw -= b.demand[cell][n] / max(sum, 1e-9); draw < 0 {
-			return n
+	for _, u := range own {
+		if draw -= u.CPU / max(sum, 1e-9); draw < 0 {
+			return u.Route
 		}
 	}
-	return routes[0]
+	return ""
 }
--- a/internal/premises/foreman.go
+++ b/internal/premises/foreman.go
@@ -24,8 +24,8 @@
 	PlanEvery time.Duration `help:"How often the spill is planned." default:"30s"`
 	Lifetime  time.Duration `help:"How long an answer of the directory may be trusted, 3s at most." default:"2s"`
 	// Options that a platform's own start sets.
-	Regions         map[ticket.Name]string `kong:"-"`
-	Thrifty, Always bool                   `kong:"-"`
+	Regions                 map[ticket.Name]string `kong:"-"`
+	Thrifty, Always, Derive bool                   `kong:"-"`
 	// Edge gives what is served besides our own pages, by address.
 	Edge func(w *window.Window) map[string]http.Handler `kong:"-"`
 }
@@ -45,7 +45,7 @@
 func RunForeman(ctx context.Context, p ForemanParams) error {
 	log := hoist.NewLog(p.Log, p.Name)
 	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList(), Thrifty: p.Thrifty},
-		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Regions: p.Regions, Thrifty: p.Thrifty, Always: p.Always, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
+		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Regions: p.Regions, Thrifty: p.Thrifty, Always: p.Always, Derive: p.Derive, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
 	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
 	win := &window.Window{Log: log.Event}
 	owner := hoist.NewOwner(m, 50*time.Millisecond, func(c works.Command) {
--- a/internal/rollcall/member.go
+++ b/internal/rollcall/member.go
@@ -113,6 +113,9 @@
 	if p.Watchers == 0 {
 		p.Watchers = 3
 	}
+	if p.Thrifty && p.Beat == 0 && p.Silence == 0 {
+		p.Beat, p.Silence = 400*time.Millisecond, 1200*time.Millisecond
+	}
 	if p.Beat == 0 {
 		p.Beat = 250 * time.Millisecond
 	}
