--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -140,3 +141,14 @@
 	_, r := change(t, p, "2", `{"kind":"route","name":"more","put":{"prefix":"/orders/","service":"ledger","repeatable":true}}`)
 	is.Equal(len(r.Faults), 1)
 }
+
+// A foreman reads changes in its owner: a body that nests thousands deep must not
+// hold all others up.
+func TestDeepNestingCostsNothing(t *testing.T) {
+	is := is.New(t)
+	deep := strings.Repeat(`{"a":`, 100000) + "1" + strings.Repeat("}", 100000)
+	from := time.Now()
+	_, faults := ReadChange([]byte(`{"id":"d","changes":[{"kind":"cell","name":"a","put":{"distances":` + deep + `}}]}`))
+	is.True(len(faults) > 0)
+	is.True(time.Since(from) < 2*time.Second)
+}
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"regexp"
-	"strconv"
 	"strings"
 
 	"github.com/tidwall/gjson"
@@ -82,27 +81,6 @@
 // whole are the fields that count things, so no fraction will do.
 var whole = map[string]bool{"tier": true, "capacity": true, "warm_ms": true, "allowance": true, "limit_ms": true, "max_body": true, "circuits": true, "goal_ms": true, "attempts": true, "max_header": true, "header_ms": true, "idle_ms": true}
 
-// twice finds keys that stand twice in an object: two readers could each take
-// another of them for the truth.
-func twice(path string, v gjson.Result, bad func(path, why string)) {
-	seen, n := map[string]bool{}, -1
-	v.ForEach(func(k, in gjson.Result) bool {
-		n++
-		at := join2(path, strconv.Itoa(n))
-		if v.IsObject() {
-			at = join2(path, k.String())
-			if seen[k.String()] {
-				bad(at, "stands twice")
-			}
-			seen[k.String()] = true
-		}
-		if in.IsObject() || in.IsArray() {
-			twice(at, in, bad)
-		}
-		return true
-	})
-}
-
 func join2(a, b string) string {
 	if a == "" {
 		return b
