--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -207,7 +207,7 @@
 	if part.Remove {
 		delete(items, part.Name)
 		// An item whose versions come from outside stays removed for them too.
-		if have.Source != nil {
+		if have.Merged {
 			p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
 		}
 		return Touched{Kind: part.Kind, Name: part.Name}
@@ -224,7 +224,9 @@
 	if v, ok := p.version(part.Kind, part.Name); ok {
 		t.Version = max(t.Version, v+1)
 	}
-	delete(p.Removed, part.Kind+"/"+string(part.Name))
-	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body)}
+	key := part.Kind + "/" + string(part.Name)
+	_, buried := p.Removed[key]
+	delete(p.Removed, key)
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), Merged: have.Merged || buried}
 	return t
 }
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -59,7 +59,7 @@
 		{path: "homes", kind: gjson.JSON},
 		{path: "tier", kind: gjson.Number, low: 0, high: 9},
 		{path: "repeatable", kind: gjson.True, required: true},
-		{path: "limit_ms", kind: gjson.Number, low: 10, high: 120000},
+		{path: "limit_ms", kind: gjson.Number, low: 10, high: 600000},
 		{path: "max_body", kind: gjson.Number, low: 0, high: 4 << 20},
 	},
 	"cell": {
--- a/internal/catalogue/merge.go
+++ b/internal/catalogue/merge.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
@@ -92,7 +93,11 @@
 	}
 	if changed {
 		for _, n := range sorted(next.Routes) {
-			res.Faults = append(res.Faults, next.unknownServices(n, next.Routes[n].Body)...)
+			for _, f := range next.unknownServices(n, next.Routes[n].Body) {
+				if !slices.Contains(res.Faults, f) {
+					res.Faults = append(res.Faults, f)
+				}
+			}
 		}
 	}
 	if len(res.Faults) > 0 {
@@ -132,7 +137,7 @@
 		return true
 	}
 	delete(p.Removed, key)
-	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source}
+	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source, Merged: true}
 	return true
 }
 
--- a/internal/catalogue/policy.go
+++ b/internal/catalogue/policy.go
@@ -22,6 +22,8 @@
 	// Source is the item in its caller's own form, where that isn't ours; it is
 	// kept as it was sent, to be read back.
 	Source json.RawMessage `json:"source,omitempty"`
+	// Merged: copies of it may still come from outside, whoever changed it last.
+	Merged bool `json:"merged,omitempty"`
 }
 
 // Policy is all items, and the results of recent changes by change id.
