--- /dev/null
+++ b/internal/desk/player_test.go
@@ -0,0 +1,220 @@
+package desk
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlinwell/internal/ledger"
+	"dunlinwell/internal/parcel"
+	"dunlinwell/internal/ticket"
+	"dunlinwell/internal/till"
+	"dunlinwell/internal/works"
+	"dunlinwell/internal/yard"
+)
+
+// player turns words into events and commands into words. It remembers turns,
+// so that traces needn't name them.
+type player struct{ turns [100]uint32 }
+
+func number(t *testing.T, s string) int {
+	t.Helper()
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// args reads key=value words.
+func args(words []string) map[string]string {
+	out := map[string]string{}
+	for _, w := range words {
+		k, v, ok := strings.Cut(w, "=")
+		if !ok {
+			v = "yes"
+		}
+		out[k] = v
+	}
+	return out
+}
+
+func (p *player) event(t *testing.T, now ticket.Tick, w []string) []works.Event {
+	a := args(w[1:])
+	id := func() ticket.Request { return ticket.Request(number(t, w[1])) }
+	switch w[0] {
+	case "stock":
+		return []works.Event{stock(t, now, a)}
+	case "arrive":
+		j := Job{ID: id(), Route: "r", Service: "s", Tier: 5, Attempt: 1, Due: now.Add(5 * time.Second), Terms: Terms{Service: ticket.Name(a["terms"])}, Repeatable: a["mark"] == "", Mark: ticket.Mark(a["mark"]), Print: []byte(a["print"])}
+		if a["try"] != "" {
+			j.Attempt = uint32(number(t, a["try"]))
+		}
+		if a["tier"] != "" {
+			j.Tier = number(t, a["tier"])
+		}
+		if a["due"] != "" {
+			span, _ := time.ParseDuration(a["due"])
+			j.Due = now.Add(span)
+		}
+		return []works.Event{Arrive{asked(t, j, a)}}
+	case "told":
+		return []works.Event{p.told(t, id(), a)}
+	case "back":
+		how := map[string]How{"sealed": Sealed, "maybe": Maybe, "notsent": NotSent, "notrun": NotRun, "foreign": Foreign, "failed": Failed}[w[2]]
+		b := Back{ID: id(), Turn: p.turns[id()], How: how, Response: till.Response{Status: 200, Body: []byte("body")}, Why: w[2]}
+		if how == Failed {
+			b.Response = till.Response{Status: 500, Body: []byte("failure")}
+		}
+		if a["running"] != "" {
+			b.Told, b.Running, b.Waiting, b.Slots = true, int64(number(t, a["running"])), 0, int64(number(t, a["slots"]))
+		}
+		return []works.Event{b}
+	case "lease":
+		span, err := time.ParseDuration(a["for"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []works.Event{Lease{Until: now.Add(span)}}
+	case "clock":
+		return []works.Event{works.ClockEvent{}}
+	}
+	t.Fatalf("no event %q", w[0])
+	return nil
+}
+
+func (p *player) told(t *testing.T, id ticket.Request, a map[string]string) Told {
+	e := Told{ID: id, Turn: p.turns[id], State: ledger.Done}
+	s := till.Slip{Print: []byte(a["print"])}
+	if a["owner"] != "" {
+		s.Owner = till.Owner{Daemon: ticket.Daemon(a["owner"]), Start: 1}
+	}
+	switch {
+	case a["over"] != "":
+		s.State, s.Response = till.Over, till.Response{Status: 200, Body: []byte(a["over"])}
+	case a["running"] != "":
+		s.State = till.Claimed
+	}
+	if a["entered"] != "" {
+		s.Entered = uint32(number(t, a["entered"]))
+	}
+	verdicts := map[string]till.Verdict{"yours": till.Yours, "running": till.Running, "over": till.Ended, "barred": till.Barred, "unlike": till.Unlike, "free": till.Free}
+	if a["slip"] != "" {
+		e.Out, _ = parcel.Pack(s)
+		return e
+	}
+	for k, v := range verdicts {
+		if a[k] != "" {
+			e.Out, _ = parcel.Pack(till.Result{Verdict: v, Slip: s})
+		}
+	}
+	if a["uncertain"] != "" {
+		e.State = ledger.Uncertain
+	}
+	return e
+}
+
+func stock(t *testing.T, now ticket.Tick, a map[string]string) Stock {
+	s := Stock{Capacity: 2, InStep: a["outofstep"] == "", Closed: a["closed"] != "", Lease: now.Add(time.Hour), Allowance: 2,
+		Terms: map[ticket.Name]Terms{"r": {Service: ticket.Name(a["terms"])}},
+		Ended: func(d ticket.Daemon, _ ticket.Start) bool { return d == "gone" }}
+	if span, err := time.ParseDuration(a["lease"]); err == nil {
+		s.Lease = now.Add(span)
+	}
+	for _, n := range strings.Split(a["targets"], ",") {
+		if n == "" {
+			continue
+		}
+		n, more, _ := strings.Cut(n, ";")
+		o := Offer{Target: yard.Target{Instance: ticket.Instance(n), Warmth: 1, Age: 1e6, Capacity: 1}, At: now, Seats: 1}
+		o.Leaving = n == a["leaving"]
+		o.Distance = float64(len(n))
+		s.Targets = append(s.Targets, placed(t, now, o, args(strings.Split(more, ";"))))
+	}
+	return s
+}
+
+// asked adds what a route may say besides.
+func asked(t *testing.T, j Job, a map[string]string) Job {
+	j.Single = a["single"] != ""
+	j.Repeatable = j.Repeatable && !j.Single
+	if a["goal"] != "" {
+		j.Goal = span(t, a["goal"])
+	}
+	if a["attempts"] != "" {
+		j.Attempts = number(t, a["attempts"])
+	}
+	if a["homes"] != "" {
+		for _, h := range strings.Split(a["homes"], ",") {
+			j.Homes = append(j.Homes, ticket.Name(h))
+		}
+	}
+	return j
+}
+
+// placed adds where a target stands and what it bears: "t;at=1;region=n;cold=2s;rate=4".
+func placed(t *testing.T, now ticket.Tick, o Offer, a map[string]string) Offer {
+	o.Region = ticket.Name(a["region"])
+	for k, into := range map[string]*int{"seat": &o.Seat, "seats": &o.Seats, "over": &o.Over} {
+		if a[k] != "" {
+			*into = number(t, a[k])
+		}
+	}
+	if a["at"] != "" {
+		o.Distance = float64(number(t, a["at"]))
+	}
+	if a["bears"] != "" {
+		o.Capacity = int64(number(t, a["bears"]))
+	}
+	if a["cold"] != "" {
+		o.ColdUntil = now.Add(span(t, a["cold"]))
+	}
+	if a["rate"] != "" {
+		o.Rate = float64(number(t, a["rate"]))
+	}
+	return o
+}
+
+func span(t *testing.T, s string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// after writes whole seconds as a number, and shorter times as they are.
+func after(d time.Duration) string {
+	if d%time.Second == 0 {
+		return strconv.Itoa(int(d / time.Second))
+	}
+	return d.String()
+}
+
+func (p *player) command(c works.Command) string {
+	switch c := c.(type) {
+	case Wish:
+		ops := map[ledger.Op]string{ledger.Read: "look", till.OpClaim: "claim", till.OpBar: "bar", till.OpRelease: "release", till.OpOutcome: "outcome", till.OpEnter: "enter"}
+		if c.Turn == 0 {
+			return fmt.Sprintf("%s in passing %s", ops[c.Op], c.Key)
+		}
+		p.turns[c.ID] = c.Turn
+		return fmt.Sprintf("%s %d %s", ops[c.Op], c.ID, c.Key)
+	case Ferry:
+		p.turns[c.ID] = c.Turn
+		fresh := ""
+		if c.Fresh {
+			fresh = " fresh"
+		}
+		if c.Careful {
+			fresh += " careful"
+		}
+		return fmt.Sprintf("ferry %d to %s%s", c.ID, c.Target.Instance, fresh)
+	case Response:
+		return fmt.Sprintf("reply %d %s %d %q retry=%s %s", c.ID, []string{"", "declined", "unknown", "answered", "misused"}[c.Class], c.Status, c.Why, after(c.After), c.Sealed.Body)
+	}
+	return fmt.Sprintf("%T", c)
+}
--- a/internal/desk/spot.go
+++ b/internal/desk/spot.go
@@ -158,7 +158,7 @@
 // there the less occupied of two drawn at random.
 func (d *Desk) pick(now ticket.Tick, j *job) *spot {
 	best, rested := d.best[:0], false
-	fresh := len(j.avoid) == 0 || slices.ContainsFunc(d.list, func(s *spot) bool { return d.fit(s) && !j.avoid[s.Instance] })
+	fresh := len(j.avoid) == 0 || slices.ContainsFunc(d.list, func(s *spot) bool { return d.fit(s) && j.home(s) && !j.avoid[s.Instance] })
 	reach := d.reach(now, j)
 	for _, s := range d.list {
 		// Where all were tried, the same one may be tried again.
--- a/internal/desk/steps.go
+++ b/internal/desk/steps.go
@@ -180,6 +180,10 @@
 		return
 	}
 	s := d.spots[j.target]
+	// A failure is sealed too: where nobody may try again it is the answer.
+	if e.How == Failed && !j.Repeatable {
+		e.How = Sealed
+	}
 	if e.How == Sealed {
 		d.mean += (now.Since(j.placed) - d.mean) / 8
 	}
