--- a/internal/counter/carry.go
+++ b/internal/counter/carry.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -127,15 +128,21 @@
 // mostOthers bounds the answers to other requests that are read past.
 const mostOthers = 2
 
+// mostHead bounds the head of an answer.
+const mostHead = 1 << 20
+
 // sealed reads an answer whole and lets the trade judge it. Only then may a
 // byte of it go on.
 func (d *Daemon) sealed(line *circuit, c *Cargo, f desk.Ferry) (Verdict, error) {
 	peer := string(f.Target.Address)
 	for range mostOthers + 1 {
+		line.bound.N = mostHead
 		res, err := http.ReadResponse(line.read, &http.Request{Method: c.Method})
 		if err != nil {
 			return Verdict{}, problem.At(err, "read response", peer)
 		}
+		// The body has a limit of its own.
+		line.bound.N = math.MaxInt64
 		body, err := d.body(res, peer)
 		if err != nil {
 			return Verdict{}, err
--- a/internal/counter/circuits.go
+++ b/internal/counter/circuits.go
@@ -34,6 +34,7 @@
 type circuit struct {
 	net.Conn
 	read  *bufio.Reader
+	bound *io.LimitedReader
 	idled ticket.Tick
 	// usable is how long it may be idle and still be used.
 	usable time.Duration
@@ -162,7 +163,8 @@
 	if err != nil {
 		return nil, problem.At(err, "dial target", string(t.Address))
 	}
-	c := &circuit{Conn: conn, read: bufio.NewReader(conn)}
+	bound := &io.LimitedReader{R: conn, N: mostHead}
+	c := &circuit{Conn: conn, bound: bound, read: bufio.NewReader(bound)}
 	if !p.greets {
 		return c, nil
 	}
--- /dev/null
+++ b/internal/counter/router_test.go
@@ -0,0 +1,55 @@
+package counter
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/catalogue"
+	"dunlinwell/internal/ticket"
+)
+
+func TestRoutesByHostAndLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	routes := map[ticket.Name]catalogue.Route{}
+	for name, at := range map[ticket.Name][2]string{
+		"own": {"Tern.example", "/mud/"}, "deep": {"tern.example", "/mud/flat/"}, "root": {"gull.example", "/"},
+		"any": {"", "/mud/flat/low/"}, "all": {"", "/"}, "a-first": {"tern.example", "/twice/"}, "b-second": {"tern.example", "/twice/"},
+	} {
+		routes[name] = catalogue.Route{Name: name, Host: at[0], Prefix: at[1]}
+	}
+	r := newRouter(&catalogue.View{Routes: routes})
+	for _, c := range []struct {
+		host, path string
+		want       ticket.Name
+	}{
+		{"tern.example", "/mud/1", "own"},
+		{"TERN.example", "/mud/1", "own"},
+		{"tern.example:8080", "/mud/1", "own"},
+		{"tern.example", "/mud/flat/1", "deep"},
+		{"tern.example", "/mud/flat/low/1", "deep"}, // a host's own route goes before any host's, however short
+		{"tern.example", "/mud/flatter/1", "own"},
+		{"tern.example", "/muddy/1", "all"},
+		{"tern.example", "/MUD/1", "all"},
+		{"tern.example", "//mud/1", "all"},
+		{"tern.example", "/%6dud/1", "all"}, // bytes are compared, nothing is cleaned
+		{"tern.example", "/mud/../x", "own"},
+		{"tern.example", "/twice/1", "a-first"},
+		{"gull.example", "/mud/1", "root"},
+		{"gull.example", "/", "root"},
+		{"other.example", "/mud/flat/low/", "any"},
+		{"", "/mud/1", "all"},
+	} {
+		got, ok := r.find(c.host, c.path)
+		is.True(ok)
+		if got.Name != c.want {
+			t.Errorf("%s%s went to %s, not %s", c.host, c.path, got.Name, c.want)
+		}
+	}
+	delete(routes, "all")
+	r = newRouter(&catalogue.View{Routes: routes})
+	for _, c := range [][2]string{{"tern.example", "/"}, {"tern.example", "/muddy/"}, {"tern.example", ""}, {"tern.example", "*"}, {"", "/mud/1"}, {"other.example", "/mud/flat/"}} {
+		_, ok := r.find(c[0], c[1])
+		is.True(!ok)
+	}
+}
