Our own interface takes mergings, and shuts and opens cells on the command line

Cause: items whose versions their caller gives, and cells whose targets get nothing more, could be had by the platform's calls alone.

Ruled out: the larger limit for every call (a change has 1000 parts at most).

Routes merged without a source of their caller's count as merged too where two share a place.

--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -207,7 +207,7 @@
 	if part.Remove {
 		delete(items, part.Name)
 		// An item whose versions come from outside stays removed for them too.
-		if have.Merged {
+		if have.merged() {
 			p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
 		}
 		return Touched{Kind: part.Kind, Name: part.Name}
@@ -227,6 +227,6 @@
 	key := part.Kind + "/" + string(part.Name)
 	_, buried := p.Removed[key]
 	delete(p.Removed, key)
-	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), Merged: have.Merged || buried}
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), Merged: have.merged() || buried}
 	return t
 }
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -226,7 +226,7 @@
 		faults = append(faults, p.unknownServices(n, p.Routes[n].Body)...)
 		// Those merged from outside are their caller's own business; of two with
 		// one place the first by name holds.
-		if p.Routes[n].Source != nil {
+		if p.Routes[n].merged() {
 			continue
 		}
 		at := doc.Get("host").Str + strings.TrimRight(doc.Get("prefix").Str, "/")
--- /dev/null
+++ b/internal/catalogue/given.go
@@ -0,0 +1,77 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/tidwall/gjson"
+)
+
+// ReadMerging reads and checks the words of a merging; all faults are listed.
+func ReadMerging(raw []byte) (Merging, []Fault) {
+	var m Merging
+	var faults []Fault
+	item := "merging"
+	bad := func(path, why string) { faults = append(faults, Fault{item, path, why}) }
+	doc := gjson.ParseBytes(raw)
+	if !gjson.ValidBytes(raw) || !doc.IsObject() {
+		bad("", "is not a JSON object")
+		return m, faults
+	}
+	Only(doc, "", bad, "items")
+	list := doc.Get("items").Array()
+	if !doc.Get("items").IsArray() || len(list) == 0 || len(list) > mostGiven {
+		bad("items", fmt.Sprintf("must be a list of 1 to %d", mostGiven))
+		return m, faults
+	}
+	for i, g := range list {
+		item = fmt.Sprintf("items.%d", i)
+		readGiven(g, bad)
+	}
+	if len(faults) == 0 {
+		if err := json.Unmarshal(raw, &m); err != nil {
+			item = "merging"
+			bad("", err.Error())
+		}
+	}
+	if len(faults) == 0 {
+		faults = m.Check()
+	}
+	return m, faults
+}
+
+// readGiven checks what surrounds an item's body; the body is checked later.
+func readGiven(g gjson.Result, bad func(path, why string)) {
+	if !g.IsObject() {
+		bad("", "must be an object")
+		return
+	}
+	// A source is its caller's own, whatever it holds.
+	seen := map[string]bool{}
+	g.ForEach(func(k, v gjson.Result) bool {
+		if seen[k.String()] {
+			bad(k.String(), "stands twice")
+		}
+		seen[k.String()] = true
+		if k.String() == "body" {
+			twice("body", v, bad)
+		}
+		return true
+	})
+	Only(g, "", bad, "kind", "name", "version", "body", "source", "removed")
+	for _, f := range []string{"kind", "name"} {
+		if g.Get(f).Type != gjson.String {
+			bad(f, "must be a string")
+		}
+	}
+	if v := g.Get("version"); v.Type != gjson.Number || v.Num < 0 || v.Num >= 1<<62 || v.Raw != fmt.Sprint(v.Uint()) {
+		bad("version", "must be a whole number")
+	}
+	removed := g.Get("removed")
+	if removed.Exists() && !removed.IsBool() {
+		bad("removed", "must be true or false")
+	}
+	if removed.Bool() == g.Get("body").Exists() {
+		bad("", "must have one of body and removed")
+	}
+}
--- /dev/null
+++ b/internal/catalogue/given_test.go
@@ -0,0 +1,56 @@
+package catalogue
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/ticket"
+)
+
+func TestReadMerging(t *testing.T) {
+	is := is.New(t)
+	m, faults := ReadMerging([]byte(`{"items":[{"kind":"service","name":"Wader_1","version":7,"body":{"tier":3},"source":{"x":1,"x":2}},{"kind":"route","name":"mud","version":0,"removed":true}]}`))
+	is.Equal(len(faults), 0)
+	is.Equal(m.Items[0].Version, ticket.Revision(7))
+	is.Equal(string(m.Items[0].Source), `{"x":1,"x":2}`)
+	is.True(m.Items[1].Removed)
+	given := func(s string) string { return `{"items":[` + s + `]}` }
+	for raw, want := range map[string]Fault{
+		"":                      {"merging", "", "is not a JSON object"},
+		"[]":                    {"merging", "", "is not a JSON object"},
+		"{}":                    {"merging", "items", "must be a list of 1 to 200000"},
+		`{"items":[]}`:          {"merging", "items", "must be a list of 1 to 200000"},
+		`{"items":{},"id":"x"}`: {"merging", "id", "is not known"},
+		given(`7`):              {"items.0", "", "must be an object"},
+		given(`{"kind":"service","name":"a","version":1}`):                            {"items.0", "", "must have one of body and removed"},
+		given(`{"kind":"service","name":"a","version":1,"body":{},"removed":true}`):   {"items.0", "", "must have one of body and removed"},
+		given(`{"kind":"service","name":"a","version":1,"body":{},"removed":1}`):      {"items.0", "removed", "must be true or false"},
+		given(`{"kind":"service","name":"a","version":1.5,"body":{}}`):                {"items.0", "version", "must be a whole number"},
+		given(`{"kind":"service","name":"a","version":"1","body":{}}`):                {"items.0", "version", "must be a whole number"},
+		given(`{"kind":"service","name":"a","version":9e99,"body":{}}`):               {"items.0", "version", "must be a whole number"},
+		given(`{"kind":"service","name":7,"version":1,"body":{}}`):                    {"items.0", "name", "must be a string"},
+		given(`{"kind":"service","name":"a","name":"b","version":1,"body":{}}`):       {"items.0", "name", "stands twice"},
+		given(`{"kind":"service","name":"a","version":1,"body":{"tier":1,"tier":2}}`): {"items.0", "body.tier", "stands twice"},
+		given(`{"kind":"service","name":"a","version":1,"body":{},"more":1}`):         {"items.0", "more", "is not known"},
+		given(`{"kind":"shop","name":"a","version":1,"body":{}}`):                     {"items.0", "kind", "is not known"},
+		given(`{"kind":"service","name":"a","version":1,"body":{"tier":10}}`):         {"service/a", "tier", "must be from 0 to 9"},
+	} {
+		_, faults := ReadMerging([]byte(raw))
+		if len(faults) == 0 || faults[0] != want {
+			t.Errorf("%s gave %v, not %v", raw, faults, want)
+		}
+	}
+}
+
+// Routes that were merged are their caller's business, though it kept no source:
+// two of them with one place don't stand in the way of our own changes.
+func TestMergedRoutesMayShareAPlace(t *testing.T) {
+	is := is.New(t)
+	a, b := givenRoute("mud", "wader", 1), givenRoute("mud", "wader", 1)
+	b.Name, a.Source, b.Source = "sand", nil, nil
+	p, r := empty(t).Merge(merging(givenService("wader", 1), a, b))
+	is.True(r.Accepted())
+	_, r = change(t, p, "1", service)
+	is.True(r.Accepted())
+}
--- a/internal/catalogue/policy.go
+++ b/internal/catalogue/policy.go
@@ -26,6 +26,9 @@
 	Merged bool `json:"merged,omitempty"`
 }
 
+// merged tells whether copies of an item may come from outside.
+func (it Item) merged() bool { return it.Merged || it.Source != nil }
+
 // Policy is all items, and the results of recent changes by change id.
 type Policy struct {
 	Revision ticket.Revision      `json:"revision"`
--- a/internal/clerk/items.go
+++ b/internal/clerk/items.go
@@ -153,6 +153,22 @@
 	return c.change("POST", "/v1/cells/"+url.PathEscape(e.Name)+"/refill", nil, e.head())
 }
 
+// ShutCmd shuts.
+type ShutCmd struct{ CellDeed }
+
+// Run shuts.
+func (e *ShutCmd) Run(c *Context) error {
+	return c.change("POST", "/v1/cells/"+url.PathEscape(e.Name)+"/shut", nil, e.head())
+}
+
+// OpenCmd opens.
+type OpenCmd struct{ CellDeed }
+
+// Run opens.
+func (e *OpenCmd) Run(c *Context) error {
+	return c.change("POST", "/v1/cells/"+url.PathEscape(e.Name)+"/open", nil, e.head())
+}
+
 // ChangeCmd sends a whole change.
 type ChangeCmd struct {
 	File string `arg:"" help:"File with the change; - for standard input."`
--- a/internal/clerk/status.go
+++ b/internal/clerk/status.go
@@ -25,8 +25,11 @@
 		Items
 		Empty  EmptyCmd  `cmd:"" help:"Take a cell out of new work."`
 		Refill RefillCmd `cmd:"" help:"Bring an emptied cell back."`
+		Shut   ShutCmd   `cmd:"" help:"Send nothing more to a cell's targets; its counters go on with those of others."`
+		Open   OpenCmd   `cmd:"" help:"Let work go to a shut cell's targets again."`
 	} `cmd:"" help:"Cells: set points, distances, emptying."`
 	Change  ChangeCmd `cmd:"" help:"Send a whole change; all of it or nothing takes effect."`
+	Merge   MergeCmd  `cmd:"" help:"Merge items whose versions you give; for each name the highest holds."`
 	Policy  PolicyCmd `cmd:"" help:"Show the whole policy."`
 	Where   WhereCmd  `cmd:"" help:"Ask the directory where to go."`
 	Status  StatusCmd `cmd:"" help:"Show cells, moves, daemons, duties and problems."`
--- a/internal/window/items.go
+++ b/internal/window/items.go
@@ -165,3 +165,19 @@
 func (w *Window) change(rw http.ResponseWriter, raw []byte) {
 	Write(rw, w.Ask(func(id uint64) any { return foreman.ChangeCall{ID: id, Raw: raw} }))
 }
+
+// mergePage takes items whose versions their caller gives.
+const mergePage = "/v1/merge"
+
+func (w *Window) merge(rw http.ResponseWriter, r *http.Request) {
+	raw, ok := Body(rw, r)
+	if !ok {
+		return
+	}
+	m, faults := catalogue.ReadMerging(raw)
+	if len(faults) > 0 {
+		Write(rw, foreman.Response{Status: 400, Body: catalogue.Result{Faults: faults}})
+		return
+	}
+	Write(rw, w.Ask(func(id uint64) any { return foreman.MergeCall{ID: id, Body: m} }))
+}
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -34,6 +34,7 @@
 
 const (
 	mostCall     = 1 << 20
+	mostMerging  = 64 << 20
 	responseTime = 5 * time.Second
 )
 
@@ -90,6 +91,7 @@
 			w.change(rw, raw)
 		}
 	})
+	m.HandleFunc("POST "+mergePage, w.merge)
 	m.HandleFunc("GET /v1/status", func(rw http.ResponseWriter, _ *http.Request) {
 		Write(rw, w.Ask(func(id uint64) any { return foreman.StatusCall{ID: id} }))
 	})
@@ -123,9 +125,14 @@
 
 // Body reads a call's body, up to its limit.
 func Body(rw http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	raw, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, mostCall))
+	most := int64(mostCall)
+	// A whole configuration may come as one merging.
+	if r.URL.Path == mergePage {
+		most = mostMerging
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, most))
 	if _, big := err.(*http.MaxBytesError); big {
-		Say(rw, 413, "body over the limit of "+strconv.Itoa(mostCall)+" bytes")
+		Say(rw, 413, "body over the limit of "+strconv.FormatInt(most, 10)+" bytes")
 		return nil, false
 	}
 	if err != nil {
