A policy of more than 8 MiB reaches those who go by it

Cause: frames between our processes were bounded at 8 MiB, while a call may bring 64 MiB of items. A policy beyond that was accepted by nobody: its frame wasn't packed, and the caller got 504 for ever.

Change: a frame may hold 96 MiB. It is read as its bytes come, so that a length that is claimed costs 1 MiB at most (before: the whole claim).

--- a/internal/parcel/frame.go
+++ b/internal/parcel/frame.go
@@ -15,9 +15,12 @@
 	// Version is the wire format spoken here. Bodies grow only at their end,
 	// so a reader of any version takes what it knows and skips the rest.
 	Version = 1
-	// MaxBody bounds a frame; it is checked before anything is allocated.
-	MaxBody = 8 << 20
-	magic   = 0x6477
+	// MaxBody bounds a frame, the largest of which is a whole policy; it is
+	// checked before anything is allocated.
+	MaxBody = 96 << 20
+	// firstRoom is what a frame gets before its bytes are there.
+	firstRoom = 1 << 20
+	magic     = 0x6477
 )
 
 // Kind tells what message a frame holds.
@@ -101,14 +104,26 @@
 	if h.Magic != magic || h.Length > MaxBody || h.Version == 0 {
 		return h, nil, problem.New("read head", "", "malformed frame: magic %x version %d length %d", h.Magic, h.Version, h.Length)
 	}
-	body := make([]byte, h.Length)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := take(r, int(h.Length))
+	if err != nil {
 		return h, nil, problem.At(err, "read body", "")
 	}
 	msg, err := Open(h.Kind, body)
 	return h, msg, err
 }
 
+// take reads a body, which grows only as its bytes come.
+func take(r io.Reader, length int) ([]byte, error) {
+	body := make([]byte, min(length, firstRoom))
+	_, err := io.ReadFull(r, body)
+	for err == nil && len(body) < length {
+		have := len(body)
+		body = append(body, make([]byte, min(have, length-have))...)
+		_, err = io.ReadFull(r, body[have:])
+	}
+	return body, err
+}
+
 // ReadBytes takes a frame that is already in hand, as on disk.
 func ReadBytes(raw []byte) (Head, any, error) { return Read(bytes.NewReader(raw)) }
 
--- a/internal/parcel/parcel_test.go
+++ b/internal/parcel/parcel_test.go
@@ -75,6 +75,22 @@
 	is.True(err != nil)
 }
 
+// A policy of many thousand items is one frame; a claim of as much costs nothing
+// until the bytes are there.
+func TestLargeFrames(t *testing.T) {
+	is := is.New(t)
+	large, err := Pack(newMsg{Extra: bytes.Repeat([]byte("x"), 40<<20)})
+	is.NoErr(err)
+	_, msg, err := Read(bytes.NewReader(large))
+	is.NoErr(err)
+	is.Equal(len(msg.(newMsg).Extra), 40<<20)
+	is.Equal(testing.Benchmark(func(b *testing.B) {
+		for range b.N {
+			_, _, _ = Read(bytes.NewReader(large[:headSize+10]))
+		}
+	}).AllocedBytesPerOp() < 2*firstRoom, true)
+}
+
 func FuzzOpen(f *testing.F) {
 	good, _ := Pack(newMsg{List: []newPart{{"a", 7}}, Extra: []byte("xyz")})
 	f.Add(good[headSize:])
