A merging judges all routes again only if a service went

Change: routes that a call doesn't touch stand by services that they had; only where the call removes a service are they all looked at.

--- a/internal/catalogue/merge.go
+++ b/internal/catalogue/merge.go
@@ -76,10 +76,11 @@
 		return p, res
 	}
 	next := p.copy()
-	changed := false
+	changed, orphaned := false, false
 	for _, g := range m.Items {
 		if next.merge(g) {
 			changed = true
+			orphaned = orphaned || g.Kind == "service" && g.Removed
 		}
 		v, _ := next.version(g.Kind, g.Name)
 		res.Items = append(res.Items, Touched{Kind: g.Kind, Name: g.Name, Version: v})
@@ -91,7 +92,8 @@
 			res.Faults = append(res.Faults, next.unknownServices(g.Name, g.Body)...)
 		}
 	}
-	if changed {
+	// The others stand by services that they had, unless some of those went.
+	if orphaned {
 		for _, n := range sorted(next.Routes) {
 			for _, f := range next.unknownServices(n, next.Routes[n].Body) {
 				if !slices.Contains(res.Faults, f) {
