--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -206,10 +206,8 @@
 	}
 	if part.Remove {
 		delete(items, part.Name)
-		// An item whose versions come from outside stays removed for them too.
-		if have.merged() {
-			p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
-		}
+		// It stays removed for copies of it that arrive later, too.
+		p.bury(part.Kind+"/"+string(part.Name), have.Version+1)
 		return Touched{Kind: part.Kind, Name: part.Name}
 	}
 	body := part.Put
@@ -224,9 +222,7 @@
 	if v, ok := p.version(part.Kind, part.Name); ok {
 		t.Version = max(t.Version, v+1)
 	}
-	key := part.Kind + "/" + string(part.Name)
-	_, buried := p.Removed[key]
-	delete(p.Removed, key)
-	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), Merged: have.merged() || buried}
+	delete(p.Removed, part.Kind+"/"+string(part.Name))
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), At: p.Revision, Merged: have.merged()}
 	return t
 }
--- a/internal/catalogue/merge_test.go
+++ b/internal/catalogue/merge_test.go
@@ -80,7 +80,7 @@
 			runs++
 			_, there := p.Routes["mud"]
 			is.True(!there)
-			is.Equal(p.Removed["route/mud"], ticket.Revision(9))
+			is.Equal(p.Removed["route/mud"].Version, ticket.Revision(9))
 			is.Equal(string(p.Routes["sand"].Source), `{"n":"sand", "to" : "wader"}`)
 			return
 		}
@@ -188,7 +188,7 @@
 	is.True(q == p)
 	p, r = change(t, p, "2", `{"kind":"route","name":"mud","remove":true}`)
 	is.True(r.Accepted())
-	is.Equal(p.Removed["route/mud"], ticket.Revision(101))
+	is.Equal(p.Removed["route/mud"].Version, ticket.Revision(101))
 	q, _ = p.Merge(merging(givenRoute("mud", "wader", 101)))
 	is.True(q == p)
 	p, r = change(t, p, "3", `{"kind":"route","name":"mud","put":{"prefix":"/mud","service":"wader","repeatable":true}}`)
