--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -223,6 +223,6 @@
 		t.Version = max(t.Version, v+1)
 	}
 	delete(p.Removed, part.Kind+"/"+string(part.Name))
-	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), At: p.Revision}
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), At: p.Revision, Merged: have.merged()}
 	return t
 }
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -58,7 +58,7 @@
 		{path: "homes", kind: gjson.JSON},
 		{path: "tier", kind: gjson.Number, low: 0, high: 9},
 		{path: "repeatable", kind: gjson.True, required: true},
-		{path: "limit_ms", kind: gjson.Number, low: 10, high: 120000},
+		{path: "limit_ms", kind: gjson.Number, low: 10, high: 600000},
 		{path: "max_body", kind: gjson.Number, low: 0, high: 4 << 20},
 	},
 	"cell": {
@@ -204,7 +204,7 @@
 		faults = append(faults, p.unknownServices(n, p.Routes[n].Body)...)
 		// Those merged from outside are their caller's own business; of two with
 		// one place the first by name holds.
-		if p.Routes[n].Source != nil {
+		if p.Routes[n].merged() {
 			continue
 		}
 		at := doc.Get("host").Str + strings.TrimRight(doc.Get("prefix").Str, "/")
--- a/internal/catalogue/merge.go
+++ b/internal/catalogue/merge.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
@@ -75,10 +76,11 @@
 		return p, res
 	}
 	next := p.copy()
-	changed := false
+	changed, orphaned := false, false
 	for _, g := range m.Items {
 		if next.merge(g) {
 			changed = true
+			orphaned = orphaned || g.Kind == "service" && g.Removed
 		}
 		v, _ := next.version(g.Kind, g.Name)
 		res.Items = append(res.Items, Touched{Kind: g.Kind, Name: g.Name, Version: v})
@@ -90,9 +92,14 @@
 			res.Faults = append(res.Faults, next.unknownServices(g.Name, g.Body)...)
 		}
 	}
-	if changed {
+	// The others stand by services that they had, unless some of those went.
+	if orphaned {
 		for _, n := range sorted(next.Routes) {
-			res.Faults = append(res.Faults, next.unknownServices(n, next.Routes[n].Body)...)
+			for _, f := range next.unknownServices(n, next.Routes[n].Body) {
+				if !slices.Contains(res.Faults, f) {
+					res.Faults = append(res.Faults, f)
+				}
+			}
 		}
 	}
 	if len(res.Faults) > 0 {
@@ -132,7 +139,7 @@
 		return true
 	}
 	delete(p.Removed, key)
-	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source, At: p.Revision}
+	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source, At: p.Revision, Merged: true}
 	return true
 }
 
