A foreman apart from its majority judges no target, and sends targets on

Cause: foremen count a target as gone after three silent intervals, whoever it calls on. The foreman cut off doesn't hear of the targets that call on the other side, and those two don't hear of the ones that call on it. Counters take both verdicts, and a verdict holds until the target says something new.

Ruled out: the counters' own lapse (off on the platform), the lease (endless there), the roll (its judging has asked for a majority all along).

Change: without an agreement of late a foreman excuses silence and counts it anew once it is back; it takes a target's word but answers 503, so that the target calls on a foreman that others hear. Word of leaving is answered as before. The house dialect's beats are answered as before, too.

--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -138,7 +138,7 @@
 	f.Announce(f.agreed != 0 && now.Since(f.agreed) < 5*time.Second, f.view.Revision)
 	f.Roll.Clock(now)
 	f.Asker.Clock(now)
-	for _, t := range f.Yard.Clock(now) {
+	for _, t := range f.silent(now) {
 		f.Say("warn", "target silent", "target", string(t.Instance), "service", string(t.Service), "address", string(t.Address))
 	}
 	f.Yard.Forget(now, time.Hour)
--- a/internal/foreman/leaving.go
+++ b/internal/foreman/leaving.go
@@ -36,6 +36,12 @@
 		f.part(now)
 		return
 	}
+	if f.params.Thrifty && f.apart(now) {
+		// Its word is taken, but the other foremen wouldn't hear of it and would
+		// soon count it as gone: it is sent on to one of them.
+		f.unreached(c.ID)
+		return
+	}
 	f.Do(Response{ID: c.ID, Status: 200, Body: map[string]any{"known": len(changed) > 0}})
 }
 
--- a/internal/yard/yard.go
+++ b/internal/yard/yard.go
@@ -159,14 +159,19 @@
 func (y *Yard) Clock(now ticket.Tick) []Target {
 	// A gap in our own clock events is our silence, not the targets'.
 	if y.last != 0 && now.Since(y.last) > time.Second {
-		for _, e := range y.list {
-			e.heard = now
-		}
+		y.Excuse(now)
 	}
 	y.last = now
 	return y.Lapse(now)
 }
 
+// Excuse counts silence from now on: until now nothing could be heard here.
+func (y *Yard) Excuse(now ticket.Tick) {
+	for _, e := range y.list {
+		e.heard = now
+	}
+}
+
 // Lapse counts the silent without minding a gap of our own. For a counter, which
 // hears all targets anew in the first push after it woke, that is the safer way.
 func (y *Yard) Lapse(now ticket.Tick) []Target {
