Inbox: in each tier those that can still meet their goal go first

Cause: in a crowd the inbox took whoever had the least time left, which are those that had missed their goal in the outage; the ones that came fresh were told "no place in the time left" after a quarter of their goal, and so were the late ones, whose last try that often was.

Change: a desk learns the longest time that a route's consumers give; one with so much less that its goal is past is late. Late ones stand behind the others of their tier and may wait for a second, as a wait costs them nothing.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -38,12 +38,14 @@
 	// claimed: a claim was asked for and may stand.
 	claimed bool
 	// counted: this request has been counted towards the retry budget.
-	counted  bool
-	earned   bool
-	again    ticket.Tick
-	since    ticket.Tick
-	placed   ticket.Tick
-	why      string
+	counted bool
+	earned  bool
+	again   ticket.Tick
+	since   ticket.Tick
+	placed  ticket.Tick
+	why     string
+	// late: its goal was past reach as it came.
+	late     bool
 	response till.Response
 }
 
@@ -71,6 +73,7 @@
 	list   []*spot
 	best   []*spot
 	budget budget
+	whole  map[ticket.Name]time.Duration
 	mean   time.Duration
 	last   ticket.Tick
 	Tally  Tally
@@ -86,7 +89,7 @@
 	if p.Inbox == 0 {
 		p.Inbox = 128
 	}
-	return &Desk{Params: p, jobs: map[ticket.Request]*job{}, spots: map[ticket.Instance]*spot{}, mean: 20 * time.Millisecond}
+	return &Desk{Params: p, jobs: map[ticket.Request]*job{}, spots: map[ticket.Instance]*spot{}, whole: map[ticket.Name]time.Duration{}, mean: 20 * time.Millisecond}
 }
 
 // Step is the machine's one entrance.
@@ -117,6 +120,7 @@
 func (d *Desk) arrive(now ticket.Tick, in Job) {
 	j := &job{Job: in, avoid: map[ticket.Instance]bool{}}
 	d.jobs[in.ID] = j
+	d.age(now, j)
 	d.Tally.Arrived++
 	switch {
 	case j.Attempt > 0:
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -12,9 +12,10 @@
 
 func (d *Desk) order() []ticket.Request { return slices.Sorted(maps.Keys(d.jobs)) }
 
-// before orders the inbox: the most urgent first, then the least time left.
+// before orders the inbox: the most urgent first, of those the ones that can
+// still meet their goal, then the least time left.
 func before(a, b *job) int {
-	return cmp.Or(-cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(-cmp.Compare(a.Tier, b.Tier), late(a)-late(b), cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
 }
 
 // admit finds the job a place, or puts it into the short inbox. What can't
@@ -55,7 +56,7 @@
 // patience is how long a request may wait in the inbox. A quarter of the goal
 // leaves its consumer time for another try that is still worth most.
 func (j *job) patience() time.Duration {
-	if j.Goal == 0 {
+	if j.Goal == 0 || j.late {
 		return longest
 	}
 	return min(j.Goal/4, longest)
--- /dev/null
+++ b/internal/desk/late_test.go
@@ -0,0 +1,103 @@
+package desk
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/ticket"
+	"dunlinwell/internal/till"
+	"dunlinwell/internal/works"
+	"dunlinwell/internal/yard"
+)
+
+const (
+	goal     = 600 * time.Millisecond
+	patience = 4 * time.Second
+)
+
+// crowded is a desk whose one place is taken by request 1.
+func crowded() (*Desk, ticket.Tick) {
+	now := ticket.Tick(time.Second)
+	d := New(Params{Dice: rand.New(rand.NewPCG(1, 1)), Self: till.Owner{Daemon: "c", Start: 1}})
+	d.Step(now, Stock{Capacity: 1, Allowance: 5, InStep: true, Lease: 1 << 60, Terms: map[ticket.Name]Terms{"r": {}},
+		Targets: []Offer{{Target: yard.Target{Instance: "t", Warmth: 1, Capacity: 1}, Seats: 1}}})
+	d.Step(now, works.ClockEvent{})
+	d.Step(now, request(now, 1, patience))
+	return d, now
+}
+
+func request(now ticket.Tick, id ticket.Request, left time.Duration) Arrive {
+	return Arrive{Job{ID: id, Route: "r", Service: "s", Repeatable: true, Attempt: 1, Goal: goal, Due: now.Add(left)}}
+}
+
+// ferried gives the request that left among commands, and declined the one
+// that was turned away.
+func ferried(list []works.Command) (out, declined ticket.Request) {
+	for _, c := range list {
+		switch c := c.(type) {
+		case Ferry:
+			out = c.ID
+		case Response:
+			if c.Class == Declined {
+				declined = c.ID
+			}
+		}
+	}
+	return out, declined
+}
+
+// After an outage the desk served first those who had waited longest, so that
+// hardly anyone was served within the goal, and turned the others away.
+func TestThoseThatCanMeetTheirGoalGoFirst(t *testing.T) {
+	is := is.New(t)
+	d, now := crowded()
+	// 2 was lost elsewhere for 2 s; 3 comes for the first time.
+	d.Step(now, request(now, 2, patience-2*time.Second))
+	d.Step(now, request(now, 3, patience))
+	is.Equal(d.Waiting(), 2)
+	now = now.Add(20 * time.Millisecond)
+	out, _ := ferried(d.Step(now, Back{ID: 1, Turn: d.jobs[1].turn, How: Sealed}))
+	is.Equal(out, ticket.Request(3))
+	out, _ = ferried(d.Step(now, Back{ID: 3, Turn: d.jobs[3].turn, How: Sealed}))
+	is.Equal(out, ticket.Request(2))
+}
+
+// One whose goal is past loses nothing by a wait, while one that can meet it is
+// told in time to try again.
+func TestPatienceGoesByWhatAWaitCosts(t *testing.T) {
+	is := is.New(t)
+	d, now := crowded()
+	d.Step(now, request(now, 2, patience-2*time.Second))
+	d.Step(now, request(now, 3, patience))
+	gone := map[ticket.Request]time.Duration{}
+	for at := time.Duration(0); at < 1500*time.Millisecond; at += 10 * time.Millisecond {
+		if _, id := ferried(d.Step(now.Add(at), works.ClockEvent{})); id != 0 {
+			gone[id] = at
+		}
+	}
+	is.Equal(gone[3], goal/4+10*time.Millisecond)
+	is.Equal(gone[2], longest+10*time.Millisecond)
+}
+
+// What a route's consumers give at first is learned from them: where all give
+// less than before they aren't taken for late for ever.
+func TestAShorterDeadlineIsLearned(t *testing.T) {
+	is := is.New(t)
+	d, now := crowded()
+	j := func(left time.Duration) *job {
+		j := &job{Job: request(now, 9, left).Job}
+		d.age(now, j)
+		return j
+	}
+	is.True(!j(patience).late)
+	is.True(j(patience - goal).late)
+	is.True(!j(patience - goal/2).late)
+	for range 4 * wholeShare {
+		j(patience / 2)
+	}
+	is.True(!j(patience / 2).late)
+	is.True(j(patience/2 - goal).late)
+}
