A peer that refuses is dialled again within 200 ms, and only to be told something

Cause: after a loss of the whole fleet each daemon refuses the others until it has started. A dial that failed was tried again after 100, 200, 400 and 800 ms, and a counter's way back into step is a chain of such dials. Besides, a peer that was gone for good was dialled once a second for ever.

Ruled out as what slows the return: founding, the disks (a store votes 0.1 s after its start), the read of the policy (one round, resent every 100 ms).

Change: the rest between two dials ends at 200 ms, and a line with nothing to say isn't dialled. The word that opened a line is now the first one sent.

--- a/internal/hoist/post.go
+++ b/internal/hoist/post.go
@@ -28,6 +28,8 @@
 	// Deliver takes what comes in.
 	Deliver func(from ticket.Address, msg any)
 	Log     *Log
+	// Dial opens a circuit to a peer; our own way by default.
+	Dial func(ctx context.Context, to ticket.Address) (net.Conn, error)
 
 	mu    sync.Mutex
 	lines map[ticket.Address]chan []byte
@@ -42,6 +44,10 @@
 	writeWithin = 2 * time.Second
 	idleFor     = time.Minute
 	dialWithin  = time.Second
+	// A peer that refuses may be about to start, as all do after a loss of the
+	// whole fleet, and what hangs on it is a chain of several such dials.
+	leastRest = 50 * time.Millisecond
+	mostRest  = 200 * time.Millisecond
 )
 
 // Listen opens the port, so that a taken one is known before anything runs.
@@ -143,16 +149,30 @@
 
 // hold keeps a circuit to one peer while there is something to say.
 func (p *Post) hold(ctx context.Context, to ticket.Address, line chan []byte) {
-	rest := 50 * time.Millisecond
+	var first []byte
+	rest := leastRest
 	for {
-		c, err := p.dial(ctx, to)
+		// A peer that is gone for good isn't dialled for nothing.
+		if first == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case first = <-line:
+			}
+		}
+		dial := p.Dial
+		if dial == nil {
+			dial = p.dial
+		}
+		c, err := dial(ctx, to)
 		if err == nil {
-			rest = 50 * time.Millisecond
-			if p.write(ctx, c, to, line) {
+			rest = leastRest
+			if p.write(ctx, c, to, first, line) {
 				return
 			}
+			first = nil
 		} else {
-			rest = min(rest*2, time.Second)
+			rest = min(rest*2, mostRest)
 		}
 		// What waits for a peer that isn't there is old by the time it is.
 		for len(line) > lineLength/2 {
@@ -184,7 +204,7 @@
 }
 
 // write carries the line's messages; true once the line was idle and dropped.
-func (p *Post) write(ctx context.Context, c net.Conn, to ticket.Address, line chan []byte) bool {
+func (p *Post) write(ctx context.Context, c net.Conn, to ticket.Address, first []byte, line chan []byte) bool {
 	defer c.Close()
 	// The peer never writes here: a read that ends tells that it closed.
 	gone := make(chan struct{})
@@ -197,18 +217,8 @@
 	_, _ = w.Write(hello)
 	idle := time.NewTimer(idleFor)
 	defer idle.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return true
-		case <-gone:
-			return false
-		case <-idle.C:
-			if p.drop(to, line) {
-				return true
-			}
-			idle.Reset(idleFor)
-		case raw := <-line:
+	for raw := first; ; {
+		if raw != nil {
 			idle.Reset(idleFor)
 			_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
 			_, err := w.Write(raw)
@@ -219,6 +229,19 @@
 				p.Log.Event("warn", "circuit lost", "peer", string(to), "problem", err.Error())
 				return false
 			}
+			raw = nil
+		}
+		select {
+		case <-ctx.Done():
+			return true
+		case <-gone:
+			return false
+		case <-idle.C:
+			if p.drop(to, line) {
+				return true
+			}
+			idle.Reset(idleFor)
+		case raw = <-line:
 		}
 	}
 }
