A foreman reads the policy as soon as it knows a stockroom

Cause: a foreman that starts knows no stockroom yet, asked nobody, and had to wait for the whole span of a try (400 ms) before it asked again.

Ruled out: the stores (a round takes two ways), the dials (200 ms at most), the order of the core's starts.

Change: with nobody to ask, no read is begun.

--- a/internal/foreman/apart.go
+++ b/internal/foreman/apart.go
@@ -26,3 +26,8 @@
 	}
 	return f.Yard.Clock(now)
 }
+
+// answerable tells whether there is anyone to read the policy from. A foreman
+// that just started knows nobody yet; an ask that leaves no one's way would
+// hold the next one up for the whole span of a try.
+func (f *Foreman) answerable() bool { return !f.params.Thrifty || len(f.stores("")) > 0 }
--- a/internal/foreman/apart_test.go
+++ b/internal/foreman/apart_test.go
@@ -114,3 +114,16 @@
 	b.step(AnnounceCall{ID: 4, Target: elsewhere(4)})
 	is.Equal(b.status[4], 200)
 }
+
+// A foreman that started before it knew any stockroom asked nobody, and asked
+// again only after a try's whole span: a fleet's way back hung on that.
+func TestAForemanReadsAsSoonAsItKnowsAStockroom(t *testing.T) {
+	is := is.New(t)
+	b := newBench(true)
+	b.cut = true
+	b.run(3*tickEvery, nil)
+	is.Equal(b.agreed, ticket.Tick(0))
+	b.cut = false
+	b.run(2*tickEvery, nil)
+	is.True(b.agreed != 0)
+}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -158,7 +158,7 @@
 		f.Say("warn", "target silent", "target", string(t.Instance), "service", string(t.Service), "address", string(t.Address))
 	}
 	f.Yard.Forget(now, time.Hour)
-	if now >= f.poll && !f.reading {
+	if now >= f.poll && !f.reading && f.answerable() {
 		f.readPolicy(now)
 	}
 	if now >= f.share {
