--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -156,7 +156,7 @@
 	f.Roll.Clock(now)
 	f.Asker.Clock(now)
 	f.keepPeers(now)
-	silent := f.Yard.Clock(now)
+	silent := f.silent(now)
 	if f.params.Thrifty {
 		f.tellForemen(silent)
 	}
@@ -164,7 +164,7 @@
 		f.Say("warn", "target silent", "target", string(t.Instance), "service", string(t.Service), "address", string(t.Address))
 	}
 	f.Yard.Forget(now, time.Hour)
-	if now >= f.poll && !f.reading {
+	if now >= f.poll && !f.reading && f.answerable() {
 		f.readPolicy(now)
 	}
 	if now >= f.share {
