Posts count their frames by kind, and foremen and counters take the large fleet's layout as flags

What a daemon spends on control could only be seen as a process's whole CPU and the machine's whole traffic, so no slope could be named by its mechanism.

Ruled out: counting in the machines (they don't know sizes, and what a full line loses is seen by the post alone) and a packet capture (needs rights, and knows no kinds).

--- a/internal/counter/daemon.go
+++ b/internal/counter/daemon.go
@@ -34,7 +34,7 @@
 	// Edge is the dialect spoken to consumers and targets; nil for our own.
 	Edge Edge `kong:"-"`
 	// Layout is how targets' places are shared out, and Regions those of cells.
-	Layout `kong:"-"`
+	Layout
 }
 
 // Validate checks what the common params don't cover.
@@ -92,7 +92,7 @@
 	d.self.Serves = ticket.Address(p.Consumers)
 	control := New(rollcall.Params{Self: d.self, Seeds: p.SeedList()}, Options{Lease: p.Lease, Layout: p.Layout})
 	d.owner = hoist.NewOwner(&beating{control, d}, 50*time.Millisecond, d.do)
-	d.post = &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: d.log,
+	d.post = &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: d.log, Tally: &hoist.Tally{},
 		Deliver: func(from ticket.Address, msg any) { d.owner.Offer(works.Heard{From: from, Msg: msg}) }}
 	if a, err := netip.ParseAddrPort(p.Pages()); err == nil {
 		d.circuits.from = net.IP(a.Addr().AsSlice())
--- a/internal/counter/places.go
+++ b/internal/counter/places.go
@@ -16,9 +16,9 @@
 type Layout struct {
 	// ByCell gives a target's places to the counters of its own cell first;
 	// otherwise all counters of the fleet have equal parts.
-	ByCell bool
+	ByCell bool `help:"Give a target's places to the counters of its own cell first."`
 	// Regions are the cells that this daemon was told of, and their regions.
-	Regions map[ticket.Name]string
+	Regions map[ticket.Name]string `kong:"-"`
 }
 
 // offer works out this counter's seat at a target. Each target has an order
--- a/internal/counter/run.go
+++ b/internal/counter/run.go
@@ -101,6 +101,7 @@
 	f := d.footing.Load()
 	flag := map[bool]float64{true: 1}
 	out := []premises.Gauge{{Name: "ready", Value: flag[f.Ready]}, {Name: "cut_off", Value: flag[f.CutOff]}, {Name: "emptied", Value: flag[f.Emptied]}}
+	out = append(out, premises.Wire(d.post.Tally)...)
 	for _, n := range d.services() {
 		p := d.at(n)
 		p.mu.Lock()
--- a/internal/hoist/post.go
+++ b/internal/hoist/post.go
@@ -28,6 +28,8 @@
 	// Deliver takes what comes in.
 	Deliver func(from ticket.Address, msg any)
 	Log     *Log
+	// Tally, if set, counts what goes over the wire.
+	Tally *Tally
 
 	mu    sync.Mutex
 	lines map[ticket.Address]chan []byte
@@ -81,13 +83,14 @@
 	r := bufio.NewReaderSize(c, 64<<10)
 	var from ticket.Address
 	for {
-		_, msg, err := parcel.Read(r)
+		head, msg, err := parcel.Read(r)
 		if err != nil {
 			if ctx.Err() == nil && !ended(err) {
 				p.Log.Event("warn", "circuit closed", "peer", c.RemoteAddr().String(), "problem", err.Error())
 			}
 			return
 		}
+		p.Tally.count(Received, head.Kind, head.Size())
 		if g, ok := msg.(Greeting); ok {
 			from = g.Address
 			continue
@@ -127,6 +130,7 @@
 	select {
 	case line <- raw:
 	default:
+		p.Tally.count(Lost, parcel.KindOf(raw), len(raw))
 	}
 }
 
@@ -156,7 +160,8 @@
 		}
 		// What waits for a peer that isn't there is old by the time it is.
 		for len(line) > lineLength/2 {
-			<-line
+			old := <-line
+			p.Tally.count(Lost, parcel.KindOf(old), len(old))
 		}
 		select {
 		case <-ctx.Done():
@@ -215,6 +220,7 @@
 			if err == nil && len(line) == 0 {
 				err = w.Flush()
 			}
+			p.Tally.count(Sent, parcel.KindOf(raw), len(raw))
 			if err != nil {
 				p.Log.Event("warn", "circuit lost", "peer", string(to), "problem", err.Error())
 				return false
--- a/internal/parcel/frame.go
+++ b/internal/parcel/frame.go
@@ -52,6 +52,25 @@
 	return true
 }
 
+// Name gives the kind's message type; empty for one that is not known here.
+func (k Kind) Name() string {
+	if t, ok := kinds[k]; ok {
+		return t.String()
+	}
+	return ""
+}
+
+// KindOf gives the kind of a packed frame.
+func KindOf(frame []byte) Kind {
+	if len(frame) < headSize {
+		return 0
+	}
+	return Kind(binary.BigEndian.Uint16(frame[4:]))
+}
+
+// Size is the length of the whole frame.
+func (h Head) Size() int { return headSize + int(h.Length) }
+
 // Epoched is met by messages sent under a duty's epoch.
 type Epoched interface{ UnderEpoch() uint64 }
 
--- a/internal/premises/foreman.go
+++ b/internal/premises/foreman.go
@@ -23,9 +23,10 @@
 	params.Common
 	PlanEvery time.Duration `help:"How often the spill is planned." default:"30s"`
 	Lifetime  time.Duration `help:"How long an answer of the directory may be trusted, 3s at most." default:"2s"`
+	Thrifty   bool          `help:"Tell of targets only as something changes, and other foremen only what they can't know."`
 	// Options that a platform's own start sets.
-	Regions         map[ticket.Name]string `kong:"-"`
-	Thrifty, Always bool                   `kong:"-"`
+	Regions map[ticket.Name]string `kong:"-"`
+	Always  bool                   `kong:"-"`
 	// Edge gives what is served besides our own pages, by address.
 	Edge func(w *window.Window) map[string]http.Handler `kong:"-"`
 }
@@ -46,7 +47,7 @@
 	log := hoist.NewLog(p.Log, p.Name)
 	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList()},
 		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Regions: p.Regions, Thrifty: p.Thrifty, Always: p.Always, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
-	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
+	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log, Tally: &hoist.Tally{}}
 	win := &window.Window{Log: log.Event}
 	owner := hoist.NewOwner(m, 50*time.Millisecond, func(c works.Command) {
 		switch c := c.(type) {
@@ -69,7 +70,7 @@
 	mux.Handle("/v1/", win.Handler())
 	rollHealth(mux, m.Me, &stopping)
 	Metrics(mux, func() []Gauge {
-		var out []Gauge
+		out := Wire(post.Tally)
 		for _, f := range win.Status().Figures() {
 			out = append(out, Gauge{Name: f.Name, Labels: f.Labels, Values: f.Values, Value: f.Value})
 		}
--- a/internal/premises/metrics.go
+++ b/internal/premises/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"dunlinwell/internal/hoist"
 )
 
 // Gauge is one figure as it stands at the moment of asking.
@@ -46,6 +48,17 @@
 	return Gauge{Name: "lock_wait_seconds_total", Value: s[0].Value.Float64(), Total: true}
 }
 
+// Wire gives what a post has carried, by way and kind.
+func Wire(t *hoist.Tally) []Gauge {
+	var out []Gauge
+	for _, f := range t.Flows() {
+		labels, values := []string{"way", "kind"}, []string{string(f.Way), f.Kind}
+		out = append(out, Gauge{Name: "wire_messages_total", Labels: labels, Values: values, Value: float64(f.Messages), Total: true},
+			Gauge{Name: "wire_bytes_total", Labels: labels, Values: values, Value: float64(f.Bytes), Total: true})
+	}
+	return out
+}
+
 // Metrics adds the plain page of figures.
 func Metrics(m *http.ServeMux, read func() []Gauge) {
 	r := prometheus.NewRegistry()
--- a/internal/premises/stockroom.go
+++ b/internal/premises/stockroom.go
@@ -143,7 +143,7 @@
 	}
 	m := stockroom.New(stockroom.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Stockroom), Seeds: p.SeedList()},
 		Store: disk.Store, Run: disk.Run, Shelf: disk, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
-	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
+	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log, Tally: &hoist.Tally{}}
 	c := &committer{shelf: disk, log: log, inbox: make(chan works.Settle, 1<<16)}
 	disk.Broken = c.fatal
 	orders := make(chan stockroom.Refounding, 1)
@@ -175,9 +175,9 @@
 	mux.HandleFunc("POST /v1/core/refound", func(rw http.ResponseWriter, r *http.Request) { refound(rw, r, owner, orders) })
 	rollHealth(mux, m.Me, &stopping)
 	Metrics(mux, func() []Gauge {
-		return []Gauge{{Name: "disk_syncs_total", Value: float64(c.syncs.Load()), Total: true},
+		return append(Wire(post.Tally), []Gauge{{Name: "disk_syncs_total", Value: float64(c.syncs.Load()), Total: true},
 			{Name: "disk_records_total", Value: float64(c.records.Load()), Total: true},
-			{Name: "disk_inbox_length", Value: float64(len(c.inbox))}}
+			{Name: "disk_inbox_length", Value: float64(len(c.inbox))}}...)
 	})
 	return live(ctx, "stockroom", log, &stopping, func() error { return window.Serve(ctx, pages, mux, 1700*time.Millisecond) },
 		owner, c, Task("post", func(x context.Context) error { return post.Serve(x, wire) }))
