rehearsal hollow: fleets of hollow counters beside real core daemons, with slopes

Ruled out: the simulator (no sockets, no bytes, no CPU of its own to go by), and real counter processes (memory of the programs alone, 24 MB each).

Control machines of many counters share a process, with their real frames and sockets; foremen and stockrooms are the built daemons. Seven phases, counted by role: CPU, memory, bytes and messages by kind, lag. Table, JSON, and a plot of each slope with its fit. Sizes that don't fit are declined first, with the bytes.

--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -107,9 +107,11 @@
 
 func main() {
 	var cli struct {
-		Up    UpCmd    `cmd:"" help:"Start a fleet to try things on; Ctrl-C ends it."`
-		Run   RunCmd   `cmd:"" help:"Play load with kills, and count."`
-		Drill DrillCmd `cmd:"" help:"Play seeds of faults in the simulator, in virtual time."`
+		Up     UpCmd     `cmd:"" help:"Start a fleet to try things on; Ctrl-C ends it."`
+		Run    RunCmd    `cmd:"" help:"Play load with kills, and count."`
+		Drill  DrillCmd  `cmd:"" help:"Play seeds of faults in the simulator, in virtual time."`
+		Hollow HollowCmd `cmd:"" help:"Play large fleets of hollow counters, and fit what control costs."`
+		Crew   CrewCmd   `cmd:"" hidden:"" help:"A process of hollow counters."`
 	}
 	k := kong.Parse(&cli, kong.Name("rehearsal"), kong.Description("Plays a whole fleet of dunlinwell on one machine."))
 	k.BindTo(premises.Until(), (*context.Context)(nil))
--- /dev/null
+++ b/internal/hollow/fleet.go
@@ -0,0 +1,180 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinwell/internal/problem"
+)
+
+// Params are the options of a run over several sizes.
+type Params struct {
+	Sizes []Size
+	// Bin holds the built foreman and stockroom; Crew is the program that runs
+	// hollow counters as its command "crew".
+	Bin, Crew string
+	Dir       string
+	Thrifty   bool
+	// PerCrew is how many counters one process has.
+	PerCrew int
+	// For is how long the steady phase lasts, Within how long any other may.
+	For, Within time.Duration
+	Interval    time.Duration
+	Rows        int
+	Changes     int
+	Block       int
+	// Show takes one line of progress at a time.
+	Show func(line string)
+}
+
+// proc is one process of the fleet.
+type proc struct {
+	role, name string
+	// daemons is how many it stands for.
+	daemons int
+	http    string
+	program string
+	args    []string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+// fleet is the processes of one size.
+type fleet struct {
+	Params
+	Size
+	mu    sync.Mutex
+	procs []*proc
+}
+
+func coreAt(block, role, n, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", block, role, n+1, port)
+}
+
+// lay names every process of a size.
+func lay(p Params, s Size) *fleet {
+	f := &fleet{Params: p, Size: s}
+	var seeds []string
+	for n := range 3 {
+		seeds = append(seeds, coreAt(p.Block, 1, n, wirePort))
+	}
+	for i, role := range []string{"stockroom", "foreman"} {
+		for n := range s.Core {
+			x := &proc{role: role, name: fmt.Sprintf("%s-%d", role, n+1), daemons: 1, http: coreAt(p.Block, i+1, n, pagesPort), program: filepath.Join(p.Bin, role)}
+			x.args = []string{"--name", x.name, "--address", coreAt(p.Block, i+1, n, wirePort), "--http", x.http,
+				"--cell", string(s.Cell(n)), "--seeds", strings.Join(seeds, ",")}
+			switch {
+			case role == "stockroom":
+				x.args = append(x.args, "--data", filepath.Join(p.Dir, x.name))
+			case p.Thrifty:
+				x.args = append(x.args, "--thrifty")
+			}
+			f.procs = append(f.procs, x)
+		}
+	}
+	for first, n := 0, 0; first < s.Counters; first, n = first+p.PerCrew, n+1 {
+		x := &proc{role: "counter", name: fmt.Sprintf("crew-%d", n+1), daemons: min(p.PerCrew, s.Counters-first),
+			http: coreAt(p.Block, 3, n, pagesPort), program: p.Crew}
+		x.args = []string{"crew", "--first", fmt.Sprint(first), "--count", fmt.Sprint(x.daemons), "--cells", fmt.Sprint(s.Cells),
+			"--rows", fmt.Sprint(min(p.Rows, s.Routes)), "--block", fmt.Sprint(p.Block), "--seeds", strings.Join(seeds, ","), "--http", x.http}
+		if p.Thrifty {
+			x.args = append(x.args, "--thrifty")
+		}
+		f.procs = append(f.procs, x)
+	}
+	return f
+}
+
+// of gives the processes of a role that run.
+func (f *fleet) of(role string) []*proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*proc
+	for _, p := range f.procs {
+		if p.role == role && p.cmd != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// start runs a process; it ends with this one, whatever happens here.
+func (f *fleet) start(p *proc) error {
+	log, err := os.OpenFile(filepath.Join(f.Dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.program, p.args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return problem.At(err, "start", p.name)
+	}
+	ended := make(chan struct{})
+	f.mu.Lock()
+	p.cmd, p.ended = cmd, ended
+	f.mu.Unlock()
+	go func() { _ = cmd.Wait(); log.Close(); close(ended) }()
+	return nil
+}
+
+// startAll starts what isn't running of a role; all roles if none is named.
+func (f *fleet) startAll(role string) error {
+	for _, p := range f.procs {
+		if p.cmd == nil && (role == "" || p.role == role) {
+			if err := f.start(p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// kill ends a process at once.
+func (f *fleet) kill(p *proc) {
+	f.mu.Lock()
+	cmd, ended := p.cmd, p.ended
+	p.cmd = nil
+	f.mu.Unlock()
+	if cmd != nil {
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+}
+
+// killAll ends a role; the whole fleet if none is named.
+func (f *fleet) killAll(role string) {
+	for _, p := range f.procs {
+		if role == "" || p.role == role {
+			f.kill(p)
+		}
+	}
+}
+
+// until asks every so often whether something holds, for so long at most.
+func until(ctx context.Context, within, every time.Duration, holds func() bool) (time.Duration, bool) {
+	from := time.Now()
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		if holds() {
+			return time.Since(from), true
+		}
+		if time.Since(from) > within {
+			return within, false
+		}
+		select {
+		case <-ctx.Done():
+			return time.Since(from), false
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/hollow/hollow_test.go
@@ -0,0 +1,75 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A small fleet plays every phase, each role is counted, and the report is there.
+func TestSmallFleet(t *testing.T) {
+	is := is.New(t)
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", bin+"/", "dunlinwell/cmd/foreman", "dunlinwell/cmd/stockroom", "dunlinwell/cmd/rehearsal").CombinedOutput()
+	if err != nil {
+		t.Fatal(err, string(out))
+	}
+	p := Params{Sizes: []Size{small}, Bin: bin, Crew: filepath.Join(bin, "rehearsal"), Dir: filepath.Join(t.TempDir(), "fleet"), Thrifty: true, PerCrew: 4,
+		For: 2 * time.Second, Within: 30 * time.Second, Interval: 500 * time.Millisecond, Rows: 3, Changes: 2, Block: 250 + os.Getpid()%4, Show: func(s string) { t.Log(s) }}
+	runs, err := Play(t.Context(), p)
+	is.NoErr(err)
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].Stopped, "")
+	is.Equal(len(runs[0].Phases), 7)
+	for _, ph := range runs[0].Phases {
+		is.True(ph.Done)
+	}
+	steady, ok := runs[0].Phase("steady")
+	is.True(ok)
+	for _, role := range roles {
+		s, ok := steady.Of(role)
+		is.True(ok)
+		is.True(s.CPU > 0)
+		is.True(s.Memory > 0)
+		is.True(s.Sent > 0)
+		is.True(s.Received > 0)
+		is.True(len(s.Kinds) > 0)
+	}
+	c, _ := steady.Of("counter")
+	is.Equal(c.Daemons, small.Counters)
+	back, _ := runs[0].Phase("counters-back")
+	is.True(back.Lag.Max >= back.Lag.P50)
+	r := Report{Runs: runs, Slopes: SlopesOf(runs)}
+	dir := t.TempDir()
+	is.NoErr(r.Write(dir))
+	raw, err := os.ReadFile(filepath.Join(dir, "hollow.json"))
+	is.NoErr(err)
+	var again Report
+	is.NoErr(json.Unmarshal(raw, &again))
+	is.Equal(again.Runs[0].Size, small)
+	var table strings.Builder
+	is.NoErr(r.Show(&table))
+	is.True(strings.Contains(table.String(), "rounds.Ack"))
+}
+
+var small = Size{Counters: 6, Targets: 8, Services: 2, Routes: 5, Tenants: 3, Cells: 3, Regions: 2, Core: 3}
+
+// What doesn't fit is declined before anything starts, with the bytes.
+func TestPlayDeclinesBeforeAnythingStarts(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "fleet")
+	s := small
+	s.Counters, s.Targets, s.Tenants = 20000, 1000000, 10000000
+	_, err := Play(context.Background(), Params{Sizes: []Size{small, s}, Dir: dir, PerCrew: 400, Show: func(string) {}})
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "bytes"))
+	_, err = os.Stat(dir)
+	is.True(os.IsNotExist(err))
+}
--- /dev/null
+++ b/internal/hollow/need.go
@@ -0,0 +1,102 @@
+package hollow
+
+import (
+	"fmt"
+
+	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
+)
+
+// Need is what a fleet takes of the machine it runs on.
+type Need struct {
+	// Crews, Foremen and Stockrooms are bytes of memory, of all such processes.
+	Crews, Foremen, Stockrooms uint64
+	Processes                  int
+	// Files is how many descriptors the process with the most of them opens.
+	Files uint64
+}
+
+// Bytes is all the memory.
+func (n Need) Bytes() uint64 { return n.Crews + n.Foremen + n.Stockrooms }
+
+// Limits are what the machine gives.
+type Limits struct {
+	Memory    uint64
+	Processes int
+	Files     uint64
+}
+
+const (
+	mib = 1 << 20
+	// mostProcesses keeps a fleet to a few hundred processes.
+	mostProcesses = 300
+	mostCounters  = 20000
+	// program is what a process takes that has nothing to do yet.
+	program = 24 * mib
+	// circuit is the buffers of one circuit, both ends.
+	circuit = 2 * 64 << 10
+	// circuits is how many a counter holds: its watchers and those it watches,
+	// and both ways to each core daemon that it speaks to.
+	circuits = 14
+	// Held by each daemon for each member, target and byte of policy: the roll
+	// and its copies, the yard or the stock made of it, the register and its view.
+	perMember = 2 << 10
+	perTarget = 2 << 10
+	perPolicy = 8
+	// A foreman keeps for each counter what it was told of each target.
+	perTold = 160
+	// garbage is how far a heap may outgrow what it holds.
+	garbage = 2
+	// files a counter opens, with room for those that start anew.
+	filesEach = 2 * circuits
+)
+
+// NeedOf works out what a fleet takes, with some counters in a process.
+func NeedOf(s Size, crew int) Need {
+	policy := uint64(s.PolicyBytes())
+	members, targets, counters, core := uint64(s.Counters+2*s.Core), uint64(s.Targets), uint64(s.Counters), uint64(s.Core)
+	each := members*perMember + targets*perTarget + policy*perPolicy
+	crews := (s.Counters + crew - 1) / crew
+	n := Need{Processes: crews + 2*s.Core}
+	n.Crews = uint64(crews)*program + counters*(garbage*each+circuits*circuit)
+	n.Foremen = core * (program + garbage*(each+counters*targets*perTold) + counters*2*circuit)
+	// Each write of the register leaves its old and new form, and frames of both.
+	n.Stockrooms = core * (program + garbage*(each+4*policy) + members*circuit)
+	n.Files = uint64(max(min(crew, s.Counters)*filesEach, 4*s.Counters)) + 256
+	return n
+}
+
+// Fits declines a fleet that the machine has no room for, with the bytes that
+// it would need.
+func (n Need) Fits(s Size, l Limits) error {
+	switch {
+	case n.Bytes() > l.Memory/2:
+		return fmt.Errorf("%s: would need %d bytes (%d MiB: counters %d, foremen %d, stockrooms %d MiB), and half of this machine's memory is %d bytes (%d MiB)",
+			s, n.Bytes(), n.Bytes()/mib, n.Crews/mib, n.Foremen/mib, n.Stockrooms/mib, l.Memory/2, l.Memory/2/mib)
+	case n.Processes > l.Processes:
+		return fmt.Errorf("%s: would need %d processes (and %d bytes), at most %d are started; give each more counters with --crew", s, n.Processes, n.Bytes(), l.Processes)
+	case n.Files > l.Files:
+		return fmt.Errorf("%s: would need %d descriptors in one process (and %d bytes), it may open %d; give each fewer counters with --crew", s, n.Files, n.Bytes(), l.Files)
+	}
+	return nil
+}
+
+// Machine gives the limits of this one.
+func Machine() (Limits, error) {
+	l := Limits{Processes: mostProcesses}
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return l, err
+	}
+	m, err := fs.Meminfo()
+	if err != nil || m.MemTotalBytes == nil {
+		return l, fmt.Errorf("read the machine's memory: %v", err)
+	}
+	l.Memory = *m.MemTotalBytes
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
+		return l, err
+	}
+	l.Files = r.Cur
+	return l, nil
+}
--- /dev/null
+++ b/internal/hollow/phases.go
@@ -0,0 +1,118 @@
+package hollow
+
+import (
+	"fmt"
+	"time"
+)
+
+// policies puts the whole policy in, change by change.
+func (x *play) policies(ph *Phase) {
+	list := x.Size.Whole()
+	slowest, from := time.Duration(0), time.Now()
+	for i, raw := range list {
+		if x.ctx.Err() != nil {
+			return
+		}
+		from = time.Now()
+		rev, err := x.post(raw)
+		took := time.Since(from)
+		if err != nil {
+			ph.Note = fmt.Sprintf("change %d of %d (%d items and %d bytes in) declined after %.1f s: %v", i+1, len(list), x.run.Items, x.run.Policy, took.Seconds(), err)
+			return
+		}
+		x.revision, slowest = rev, max(slowest, took)
+		x.run.Policy += len(raw)
+		x.run.Items += min(perChange, x.Cells+x.Services+x.Routes+x.Tenants-x.run.Items)
+		if i%10 == 9 {
+			x.Show(fmt.Sprintf("  policy: %d of %d changes, the last took %.2f s", i+1, len(list), took.Seconds()))
+		}
+	}
+	lags, ok := x.inForce(x.revision, from)
+	ph.Lag, ph.Done = lagOf(lags), ok
+	ph.Note = fmt.Sprintf("%d items, %d bytes, slowest change %.2f s, %d counters have the last", x.run.Items, x.run.Policy, slowest.Seconds(), len(lags))
+}
+
+// arrive lets targets announce themselves, and waits until all counters serve.
+func (x *play) arrive(ph *Phase) {
+	go x.targets.run(x.ctx)
+	_, ok := until(x.ctx, x.Within, 100*time.Millisecond, func() bool {
+		return int(x.targets.answered.Load()) >= x.Size.Targets && x.count() == x.Size.Counters
+	})
+	ph.Done = ok
+	ph.Note = fmt.Sprintf("%d announcements answered, %d failed; %d counters ready", x.targets.answered.Load(), x.targets.failed.Load(), x.count())
+}
+
+// steady does nothing for a while.
+func (x *play) steady(ph *Phase) {
+	least := x.Size.Counters
+	before := x.targets.answered.Load()
+	_, _ = until(x.ctx, x.For, x.For/4, func() bool {
+		least = min(least, x.count())
+		return false
+	})
+	ph.Done = x.ctx.Err() == nil
+	told := x.targets.answered.Load() - before
+	ph.Note = fmt.Sprintf("%d counters ready at least, %d announcements answered (%.0f wanted)", least, told, x.For.Seconds()/x.Interval.Seconds()*float64(x.Size.Targets))
+}
+
+// changes are changes of one route each, every one awaited everywhere.
+func (x *play) changes(ph *Phase) {
+	var all []time.Duration
+	for n := range x.Changes {
+		from := time.Now()
+		rev, err := x.post(x.Size.Change("change", n))
+		if err != nil {
+			ph.Note = fmt.Sprintf("change %d: %v", n+1, err)
+			return
+		}
+		lags, ok := x.inForce(rev, from)
+		all = append(all, lags...)
+		if !ok {
+			ph.Note = fmt.Sprintf("change %d: in force at %d counters within %s", n+1, len(lags), x.Within)
+			return
+		}
+	}
+	// What a change sets off in the roll goes on after it is in force.
+	_, _ = until(x.ctx, 2*time.Second, time.Second, func() bool { return false })
+	ph.Lag, ph.Done = lagOf(all), x.ctx.Err() == nil
+	ph.Note = fmt.Sprintf("%d changes", x.Changes)
+}
+
+// foremanLost kills the foreman that plans, and lets it come back.
+func (x *play) foremanLost(ph *Phase) {
+	p := x.of("foreman")[0]
+	x.kill(p)
+	least := x.Size.Counters
+	_, _ = until(x.ctx, 5*time.Second, 100*time.Millisecond, func() bool {
+		least = min(least, x.count())
+		return false
+	})
+	if err := x.start(p); err != nil {
+		ph.Note = err.Error()
+		return
+	}
+	took, ok := until(x.ctx, x.Within, 100*time.Millisecond, func() bool {
+		return x.readyCore() == 3+x.Core && x.count() == x.Size.Counters
+	})
+	ph.Done = ok
+	ph.Note = fmt.Sprintf("%d counters ready at least; whole %.1f s after the foreman came back", least, took.Seconds())
+}
+
+// countersBack loses all counters at once, and starts them at once.
+func (x *play) countersBack(ph *Phase) {
+	x.killAll("counter")
+	from := time.Now()
+	if err := x.startAll("counter"); err != nil {
+		ph.Note = err.Error()
+		return
+	}
+	took, ok := until(x.ctx, x.Within, 100*time.Millisecond, func() bool { return x.count() == x.Size.Counters })
+	var lags []time.Duration
+	for _, s := range x.stands() {
+		if s.Ready {
+			lags = append(lags, time.Duration(s.Stood-from.UnixNano()))
+		}
+	}
+	ph.Lag, ph.Done = lagOf(lags), ok
+	ph.Note = fmt.Sprintf("%d counters ready, all after %.1f s", len(lags), took.Seconds())
+}
--- /dev/null
+++ b/internal/hollow/report.go
@@ -0,0 +1,100 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+)
+
+// Report is a whole run over several sizes, as JSON has it.
+type Report struct {
+	Command string  `json:"command"`
+	Runs    []Run   `json:"runs"`
+	Slopes  []Slope `json:"slopes"`
+}
+
+// Write keeps the report in a folder: figures as JSON, slopes as SVG.
+func (r Report) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "hollow.json"), append(raw, '\n'), 0o644); err != nil {
+		return err
+	}
+	for _, s := range r.Slopes {
+		if len(s.Points) > 1 {
+			if err := s.plot(filepath.Join(dir, s.file())); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// file names a slope's plot.
+func (s Slope) file() string {
+	short, _, _ := strings.Cut(s.Measure, ",")
+	return strings.ReplaceAll(fmt.Sprintf("%s-%s-%s.svg", s.Phase, s.Role, short), " ", "-")
+}
+
+// Show prints the runs and their slopes as tables.
+func (r Report) Show(to io.Writer) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "size\tphase\ttook s\trole\tCPU %\tbusiest %\tMB\tsent B/s\trecv B/s\tmsg/s\tlost\tfiles\tlag p50/p99/max ms\tmostly")
+	for _, run := range r.Runs {
+		for _, p := range run.Phases {
+			for _, s := range p.Spends {
+				mostly := ""
+				for _, k := range s.Kinds[:min(2, len(s.Kinds))] {
+					mostly += fmt.Sprintf("%s %.1f/s of %.0f B; ", k.Kind, k.Messages, k.Size)
+				}
+				fmt.Fprintf(w, "%.0f %s\t%s\t%.1f\t%s\t%.2f\t%.0f\t%.1f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f/%.0f/%.0f\t%s\n", run.Size.Of(Axis(r.sizes())), Axis(r.sizes()), p.Name, p.Took, s.Role,
+					s.CPU, s.Busiest, s.Memory, s.Sent, s.Received, s.Messages, s.Lost, s.Files, p.Lag.P50, p.Lag.P99, p.Lag.Max, mostly)
+			}
+		}
+		if run.Stopped != "" {
+			fmt.Fprintf(w, "stopped at %s: %s\n", run.Size, run.Stopped)
+		}
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "phase\trole\tmeasure\tfit\tr2\tpoints\tleft out\tat\tworked out\tbudget")
+	for _, s := range r.Slopes {
+		if s.Fit == nil {
+			continue
+		}
+		x := "x"
+		if s.Fit.Shape == square {
+			x = "x²"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.4g + %.4g %s\t%.3f\t%d\t%d\t%.0f %s\t%.4g\t%s\n", s.Phase, s.Role, s.Measure, s.Fit.A, s.Fit.B, x, s.Fit.R2,
+			s.Fit.Points, len(s.Points)-s.Fit.Points, s.At, s.Axis, s.Worked, s.beside())
+	}
+	return w.Flush()
+}
+
+// beside sets what was worked out beside its budget.
+func (s Slope) beside() string {
+	switch {
+	case s.Budget == 0:
+		return ""
+	case s.Worked > s.Budget:
+		return fmt.Sprintf("%.4g: %.1f times over", s.Budget, s.Worked/s.Budget)
+	}
+	return fmt.Sprintf("%.4g: within", s.Budget)
+}
+
+func (r Report) sizes() []Size {
+	var out []Size
+	for _, run := range r.Runs {
+		out = append(out, run.Size)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hollow/run.go
@@ -0,0 +1,189 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"runtime"
+	"time"
+)
+
+// Check declines sizes that this machine has no room for.
+func (p Params) Check() error {
+	l, err := Machine()
+	if err != nil {
+		return err
+	}
+	for _, s := range p.Sizes {
+		if err := NeedOf(s, p.PerCrew).Fits(s, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Play runs every size in turn, once all of them are found to fit.
+func Play(ctx context.Context, p Params) ([]Run, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	var out []Run
+	for i, s := range p.Sizes {
+		p.Show(fmt.Sprintf("run %d of %d: %s", i+1, len(p.Sizes), s))
+		r, err := one(ctx, p, s)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, r)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return out, nil
+}
+
+// play is one run under way.
+type play struct {
+	*fleet
+	run      *Run
+	ctx      context.Context
+	targets  *targets
+	revision int64
+}
+
+// one plays all phases of one size, as far as they go.
+func one(ctx context.Context, p Params, s Size) (Run, error) {
+	r := Run{Size: s, Thrifty: p.Thrifty, Cores: runtime.NumCPU(), Threads: runtime.GOMAXPROCS(0)}
+	// An earlier run's folders would found another fleet.
+	if err := os.RemoveAll(p.Dir); err != nil {
+		return r, err
+	}
+	if err := os.MkdirAll(p.Dir, 0o755); err != nil {
+		return r, err
+	}
+	f := lay(p, s)
+	defer f.killAll("")
+	if err := f.startAll(""); err != nil {
+		return r, err
+	}
+	life, end := context.WithCancel(ctx)
+	defer end()
+	x := &play{fleet: f, run: &r, ctx: life, targets: newTargets(f)}
+	for _, phase := range []struct {
+		name string
+		do   func(*Phase)
+	}{
+		{"start", x.starts}, {"policy", x.policies}, {"targets", x.arrive}, {"steady", x.steady},
+		{"change", x.changes}, {"foreman-lost", x.foremanLost}, {"counters-back", x.countersBack},
+	} {
+		ph := Phase{Name: phase.name}
+		before := f.read(true)
+		from := time.Now()
+		phase.do(&ph)
+		ph.Took = time.Since(from).Seconds()
+		after := f.read(false)
+		for _, role := range roles {
+			ph.Spends = append(ph.Spends, between(role, before[role], after[role]))
+		}
+		r.Phases = append(r.Phases, ph)
+		p.Show(fmt.Sprintf("  %-14s %6.1f s  done %v  %s", ph.Name, ph.Took, ph.Done, ph.Note))
+		if !ph.Done || ctx.Err() != nil {
+			r.Stopped = ph.Name + ": " + ph.Note
+			break
+		}
+	}
+	return r, nil
+}
+
+// starts waits until all stockrooms and foremen answer and the fleet has
+// found together: no counter can be in step before there is a policy.
+func (x *play) starts(ph *Phase) {
+	_, ph.Done = until(x.ctx, x.Within, 100*time.Millisecond, func() bool {
+		return len(x.stands()) == x.Size.Counters && x.readyCore() == 3+x.Core
+	})
+	ph.Note = fmt.Sprintf("%d core daemons ready", x.readyCore())
+}
+
+// readyCore counts foremen and voting stockrooms that are ready.
+func (x *play) readyCore() int {
+	n := 0
+	for _, role := range []string{"stockroom", "foreman"} {
+		for i, p := range x.of(role) {
+			if role == "stockroom" && i >= 3 {
+				break
+			}
+			if res, err := client.Get("http://" + p.http + "/readyz"); err == nil {
+				res.Body.Close()
+				if res.StatusCode == http.StatusOK {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// post makes a change through any foreman; it gives the revision.
+func (x *play) post(raw []byte) (int64, error) {
+	var last error
+	// An uncertain outcome is asked for again under the same id.
+	for range 3 {
+		for _, p := range x.of("foreman") {
+			res, err := client.Post("http://"+p.http+"/v1/change", "application/json", bytes.NewReader(raw))
+			if err != nil {
+				last = err
+				continue
+			}
+			body, _ := io.ReadAll(res.Body)
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				var r struct{ Revision int64 }
+				err := json.Unmarshal(body, &r)
+				return r.Revision, err
+			}
+			last = fmt.Errorf("status %d: %.200s", res.StatusCode, body)
+			if res.StatusCode < 500 {
+				return 0, last
+			}
+		}
+	}
+	return 0, last
+}
+
+// inForce waits until every counter goes by a revision, and gives how long
+// after the change was asked for each did.
+func (x *play) inForce(rev int64, from time.Time) ([]time.Duration, bool) {
+	var stands []Stand
+	_, ok := until(x.ctx, x.Within, 50*time.Millisecond, func() bool {
+		stands = x.stands()
+		n := 0
+		for _, s := range stands {
+			if s.Revision >= rev {
+				n++
+			}
+		}
+		return n == x.Size.Counters
+	})
+	var out []time.Duration
+	for _, s := range stands {
+		if s.Revision >= rev {
+			out = append(out, time.Duration(s.Adopted-from.UnixNano()))
+		}
+	}
+	return out, ok
+}
+
+// count tells how many counters are ready.
+func (x *play) count() int {
+	n := 0
+	for _, s := range x.stands() {
+		if s.Ready {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/hollow/size_test.go
@@ -0,0 +1,109 @@
+package hollow
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/catalogue"
+)
+
+func lists() Lists {
+	one := func(n int) []int { return []int{n} }
+	return Lists{one(10), one(20), one(3), one(5), one(0), one(6), one(3), one(3)}
+}
+
+func TestSizes(t *testing.T) {
+	is := is.New(t)
+	l := lists()
+	l.Counters, l.Targets = []int{10, 20, 40}, []int{30, 60, 120}
+	got, err := l.Sizes()
+	is.NoErr(err)
+	is.Equal(len(got), 3)
+	is.Equal(got[1], Size{Counters: 20, Targets: 60, Services: 3, Routes: 5, Cells: 6, Regions: 3, Core: 3})
+	is.Equal(Axis(got), "counters")
+	l.Counters = []int{10}
+	got, err = l.Sizes()
+	is.NoErr(err)
+	is.Equal(Axis(got), "targets")
+	is.Equal(Axis(got[:1]), "counters")
+	is.Equal(got[2].Of("targets"), 120.0)
+	is.Equal(largest(got).Targets, 120)
+}
+
+func TestBadSizesNameTheirFlag(t *testing.T) {
+	for flag, spoil := range map[string]func(*Lists){
+		"--targets":  func(l *Lists) { l.Counters, l.Targets = []int{1, 2, 3}, []int{1, 2} },
+		"--counters": func(l *Lists) { l.Counters = []int{0} },
+		"--tenants":  func(l *Lists) { l.Tenants = []int{-1} },
+		"--core":     func(l *Lists) { l.Core = []int{2} },
+		"--regions":  func(l *Lists) { l.Regions = []int{7} },
+		"--services": func(l *Lists) { l.Services = []int{6} },
+	} {
+		t.Run(flag, func(t *testing.T) {
+			is := is.New(t)
+			l := lists()
+			spoil(&l)
+			_, err := l.Sizes()
+			is.True(err != nil)
+			is.True(strings.HasPrefix(err.Error(), flag+":"))
+		})
+	}
+}
+
+// The policy is one that the catalogue takes, and as long as was said.
+func TestWholePolicyIsAccepted(t *testing.T) {
+	is := is.New(t)
+	s := Size{Counters: 1, Services: 7, Routes: 40, Tenants: 3000, Cells: 4, Regions: 2, Core: 3}
+	p, err := catalogue.Open(nil)
+	is.NoErr(err)
+	apply := func(raw []byte) {
+		c, faults := catalogue.ReadChange(raw)
+		is.Equal(len(faults), 0)
+		next, res := p.Apply(c)
+		is.True(res.Accepted())
+		p = next
+	}
+	for _, raw := range s.Whole() {
+		apply(raw)
+	}
+	is.Equal(len(p.Routes), 3040)
+	is.Equal(len(p.Services), 7)
+	is.Equal(len(p.Cells), 4)
+	size, said := len(p.Pack(false)), s.PolicyBytes()
+	is.True(said > size*8/10 && said < size*12/10)
+	rev := p.Revision
+	apply(s.Change("a", 3))
+	is.Equal(p.Revision, rev+1)
+	var body struct {
+		Limit int `json:"limit_ms"`
+	}
+	is.NoErr(json.Unmarshal(p.Routes["route-4"].Body, &body))
+	is.Equal(body.Limit, 4003)
+}
+
+func TestNeedGrowsAndDeclines(t *testing.T) {
+	is := is.New(t)
+	a := NeedOf(small, 400)
+	is.Equal(a.Processes, 7)
+	is.Equal(a.Bytes(), a.Crews+a.Foremen+a.Stockrooms)
+	for _, axis := range axes[:2] {
+		b := small
+		*axis.of(&b) *= 10
+		is.True(NeedOf(b, 400).Bytes() > a.Bytes())
+	}
+	is.Equal(NeedOf(small, 2).Processes, 9)
+	is.NoErr(a.Fits(small, Limits{Memory: 2 * a.Bytes(), Processes: 7, Files: a.Files}))
+	for what, l := range map[string]Limits{
+		"bytes":       {Memory: 2*a.Bytes() - 2, Processes: 7, Files: a.Files},
+		"processes":   {Memory: 2 * a.Bytes(), Processes: 6, Files: a.Files},
+		"descriptors": {Memory: 2 * a.Bytes(), Processes: 7, Files: a.Files - 1},
+	} {
+		err := a.Fits(small, l)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), what))
+		is.True(strings.Contains(err.Error(), "would need"))
+	}
+}
--- /dev/null
+++ b/internal/hollow/slopes.go
@@ -0,0 +1,109 @@
+package hollow
+
+// Slope is one measure of one role in one phase over several sizes.
+type Slope struct {
+	Phase   string  `json:"phase"`
+	Role    string  `json:"role"`
+	Measure string  `json:"measure"`
+	Axis    string  `json:"axis"`
+	Points  []Point `json:"points"`
+	Fit     *Fit    `json:"fit,omitempty"`
+	// At is the letter's size along the axis, and Worked what the fit gives there.
+	At     float64 `json:"at"`
+	Worked float64 `json:"worked_out,omitempty"`
+	// Budget is what one daemon may spend; 0 where none is named.
+	Budget float64 `json:"budget,omitempty"`
+}
+
+// measures are what is fitted, with what a daemon may spend of it.
+var measures = []struct {
+	name   string
+	budget float64
+	of     func(p Phase, s Spend) float64
+}{
+	{"CPU, % of a core", 1.7, func(_ Phase, s Spend) float64 { return s.CPU }},
+	{"memory, MB", 64, func(_ Phase, s Spend) float64 { return s.Memory }},
+	{"sent, bytes/s", 0, func(_ Phase, s Spend) float64 { return s.Sent }},
+	{"sent and received, bytes/s", 13000, func(_ Phase, s Spend) float64 { return s.Control() }},
+	{"messages sent, /s", 0, func(_ Phase, s Spend) float64 { return s.Messages }},
+}
+
+// full is the share of the machine, or of what one process may use of it, over
+// which a run measures what it runs on.
+const full = 0.85
+
+// saturated tells whether a phase measured the machine and not the fleet.
+func saturated(r Run, p Phase) bool {
+	all := 0.0
+	for _, s := range p.Spends {
+		all += s.CPU * float64(s.Daemons)
+		if s.Lost > 0 || s.Busiest > full*100*float64(r.Threads) {
+			return true
+		}
+	}
+	return all > full*100*float64(r.Cores)
+}
+
+// SlopesOf fits every measure over the runs.
+func SlopesOf(runs []Run) []Slope {
+	var sizes []Size
+	for _, r := range runs {
+		sizes = append(sizes, r.Size)
+	}
+	if len(sizes) == 0 {
+		return nil
+	}
+	axis := Axis(sizes)
+	var out []Slope
+	for _, phase := range []string{"steady", "change", "foreman-lost", "counters-back"} {
+		for _, role := range roles {
+			for _, m := range measures {
+				s := Slope{Phase: phase, Role: role, Measure: m.name, Axis: axis, At: Letter.Of(axis)}
+				if role == "counter" {
+					s.Budget = m.budget
+				}
+				for _, r := range runs {
+					if p, ok := r.Phase(phase); ok {
+						if spend, ok := p.Of(role); ok {
+							s.Points = append(s.Points, Point{r.Size.Of(axis), m.of(p, spend), saturated(r, p)})
+						}
+					}
+				}
+				out = append(out, s.fitted())
+			}
+		}
+		out = append(out, lagSlope(runs, phase, axis))
+	}
+	return kept(out)
+}
+
+// lagSlope is how long 99 in 100 counters took.
+func lagSlope(runs []Run, phase, axis string) Slope {
+	s := Slope{Phase: phase, Role: "fleet", Measure: "99 in 100 counters, ms", Axis: axis, At: Letter.Of(axis)}
+	if phase == "change" {
+		s.Budget = 5000
+	}
+	for _, r := range runs {
+		if p, ok := r.Phase(phase); ok && p.Lag.P99 > 0 {
+			s.Points = append(s.Points, Point{r.Size.Of(axis), p.Lag.P99, saturated(r, p)})
+		}
+	}
+	return s.fitted()
+}
+
+func (s Slope) fitted() Slope {
+	if f, ok := FitOf(s.Points); ok {
+		s.Fit, s.Worked = &f, f.At(s.At)
+	}
+	return s
+}
+
+func kept(list []Slope) []Slope {
+	var out []Slope
+	for _, s := range list {
+		if len(s.Points) > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/rehearsal/programs.go
+++ b/internal/rehearsal/programs.go
@@ -45,6 +45,12 @@
 	return built, build(built)
 }
 
+// Programs gives the folder of the daemons: the one named, or the one beside
+// this program, or one that they are built into.
+func Programs(named, built string) (string, error) {
+	return chooseBin(named, beside(), built, Build)
+}
+
 // complete tells whether a folder holds every program.
 func complete(bin string) bool {
 	for _, p := range programs {
