rehearsal hollow gives one change's cost, and the machine's load beside its figures

A phase's mean rate hides what a change costs: it depends on how long the phase is awaited. Ruled out: a phase of one change alone, too short to read CPU by.

One change is its phase less the steady state, by the change. The steady phase begins 3 s after all counters are ready, and the crew has profile pages that name a mechanism.

--- a/internal/hollow/crew.go
+++ b/internal/hollow/crew.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -141,6 +142,9 @@
 		rw.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(rw).Encode(c.state())
 	})
+	// What the counters spend their time on names the mechanism behind a slope.
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	life, end := context.WithCancel(ctx)
 	defer end()
 	sup.ServeBackground(life)
--- a/internal/hollow/fit_test.go
+++ b/internal/hollow/fit_test.go
@@ -89,6 +89,26 @@
 	is.Equal(lagOf(list), Lag{P50: 101, P99: 199, Max: 200})
 }
 
+// One change is what its phase cost beyond the steady state, by the change.
+func TestOneChange(t *testing.T) {
+	is := is.New(t)
+	run := func(counters int) Run {
+		x := float64(counters)
+		return Run{Size: Size{Counters: counters}, Cores: 8, Threads: 2, Changes: 4, Phases: []Phase{
+			{Name: "steady", Done: true, Spends: []Spend{{Role: "counter", Seconds: 10, CPU: 1, Sent: 100, Received: 100}}},
+			{Name: "change", Done: true, Spends: []Spend{{Role: "counter", Seconds: 2, CPU: 1 + x, Sent: 100 + x, Received: 100 + x}}}}}
+	}
+	for _, s := range perChangeOf([]Run{run(10), run(20)}, "counters")[:2] {
+		is.Equal(s.Fit.Points, 2)
+		switch s.Measure {
+		case "one change: CPU ms":
+			is.True(near(s.Points[0].Y, 50))
+		case "one change: bytes sent and received":
+			is.True(near(s.Points[1].Y, 20))
+		}
+	}
+}
+
 // A run that filled the machine, one process, or a line is left out.
 func TestSlopesLeaveOutFullRuns(t *testing.T) {
 	is := is.New(t)
@@ -107,5 +127,8 @@
 			is.Equal(s.beside(), "1.3e+04: within")
 		}
 	}
+	for _, s := range list {
+		is.Equal(s.Phase, "steady")
+	}
 	is.Equal(len(list), len(measures))
 }
--- a/internal/hollow/need.go
+++ b/internal/hollow/need.go
@@ -81,6 +81,19 @@
 	return nil
 }
 
+// load is the machine's load average over the last minute.
+func load() float64 {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0
+	}
+	l, err := fs.LoadAvg()
+	if err != nil {
+		return 0
+	}
+	return l.Load1
+}
+
 // Machine gives the limits of this one.
 func Machine() (Limits, error) {
 	l := Limits{Processes: mostProcesses}
--- a/internal/hollow/phases.go
+++ b/internal/hollow/phases.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// settle is how long a fleet that has come together is left alone.
+const settle = 3 * time.Second
+
 // policies puts the whole policy in, change by change.
 func (x *play) policies(ph *Phase) {
 	list := x.Size.Whole()
@@ -38,6 +41,8 @@
 	_, ok := until(x.ctx, x.Within, 100*time.Millisecond, func() bool {
 		return int(x.targets.answered.Load()) >= x.Size.Targets && x.count() == x.Size.Counters
 	})
+	// The roll goes on telling of what has just become ready.
+	_, _ = until(x.ctx, settle, settle, func() bool { return false })
 	ph.Done = ok
 	ph.Note = fmt.Sprintf("%d announcements answered, %d failed; %d counters ready", x.targets.answered.Load(), x.targets.failed.Load(), x.count())
 }
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -41,7 +41,7 @@
 
 // file names a slope's plot.
 func (s Slope) file() string {
-	short, _, _ := strings.Cut(s.Measure, ",")
+	short, _, _ := strings.Cut(strings.ReplaceAll(s.Measure, ":", ""), ",")
 	return strings.ReplaceAll(fmt.Sprintf("%s-%s-%s.svg", s.Phase, s.Role, short), " ", "-")
 }
 
@@ -60,6 +60,7 @@
 					s.CPU, s.Busiest, s.Memory, s.Sent, s.Received, s.Messages, s.Lost, s.Files, p.Lag.P50, p.Lag.P99, p.Lag.Max, mostly)
 			}
 		}
+		fmt.Fprintf(w, "machine: load %.1f on %d processors, %d threads a process\n", run.Load, run.Cores, run.Threads)
 		if run.Stopped != "" {
 			fmt.Fprintf(w, "stopped at %s: %s\n", run.Size, run.Stopped)
 		}
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -57,7 +57,7 @@
 
 // one plays all phases of one size, as far as they go.
 func one(ctx context.Context, p Params, s Size) (Run, error) {
-	r := Run{Size: s, Thrifty: p.Thrifty, Cores: runtime.NumCPU(), Threads: runtime.GOMAXPROCS(0)}
+	r := Run{Size: s, Thrifty: p.Thrifty, Cores: runtime.NumCPU(), Threads: runtime.GOMAXPROCS(0), Changes: p.Changes}
 	// An earlier run's folders would found another fleet.
 	if err := os.RemoveAll(p.Dir); err != nil {
 		return r, err
@@ -96,6 +96,7 @@
 			break
 		}
 	}
+	r.Load = load()
 	return r, nil
 }
 
--- a/internal/hollow/slopes.go
+++ b/internal/hollow/slopes.go
@@ -74,7 +74,35 @@
 		}
 		out = append(out, lagSlope(runs, phase, axis))
 	}
-	return kept(out)
+	return kept(append(out, perChangeOf(runs, axis)...))
+}
+
+// perChangeOf is what one change cost one daemon beyond the steady state.
+func perChangeOf(runs []Run, axis string) []Slope {
+	var out []Slope
+	for _, role := range roles {
+		for _, m := range []struct {
+			name string
+			of   func(s Spend) float64
+		}{
+			{"one change: CPU ms", func(s Spend) float64 { return 10 * s.CPU * s.Seconds }},
+			{"one change: bytes sent and received", func(s Spend) float64 { return s.Control() * s.Seconds }},
+		} {
+			s := Slope{Phase: "change", Role: role, Measure: m.name, Axis: axis, At: Letter.Of(axis)}
+			for _, r := range runs {
+				change, ok := r.Phase("change")
+				steady, calm := r.Phase("steady")
+				if !ok || !calm || r.Changes == 0 {
+					continue
+				}
+				c, _ := change.Of(role)
+				q, _ := steady.Of(role)
+				s.Points = append(s.Points, Point{r.Size.Of(axis), (m.of(c) - m.of(q)*c.Seconds/q.Seconds) / float64(r.Changes), saturated(r, change) || saturated(r, steady)})
+			}
+			out = append(out, s.fitted())
+		}
+	}
+	return out
 }
 
 // lagSlope is how long 99 in 100 counters took.
--- a/internal/hollow/spend.go
+++ b/internal/hollow/spend.go
@@ -130,6 +130,10 @@
 	Cores int `json:"cores"`
 	// Threads is how many of them one process may use.
 	Threads int `json:"threads"`
+	// Load is the machine's load average at the end, this fleet's and others'.
+	Load float64 `json:"load"`
+	// Changes is how many the phase of changes made.
+	Changes int `json:"changes"`
 }
 
 // Phase finds a phase that was done.
