Hollow fleets that aren't at rest are left out of the fits

A fleet that can't keep up tells itself ever more: 64 counters with 64 targets sent 340 KB each a second in the steady phase, 32 sent 8 KB. A line through both says nothing of either.

Ruled out: leaving such runs out by CPU alone; at 400 targets the process used 29 %.

Inquiries and suspicions from counters tell; the report names such phases.

--- a/internal/hollow/fit_test.go
+++ b/internal/hollow/fit_test.go
@@ -89,6 +89,20 @@
 	is.Equal(lagOf(list), Lag{P50: 101, P99: 199, Max: 200})
 }
 
+// A fleet whose counters distrust what they know is not at rest, and its steady
+// phase is no slope's.
+func TestSlopesLeaveOutRestlessRuns(t *testing.T) {
+	is := is.New(t)
+	run := func(counters int, kinds ...Kind) Run {
+		return Run{Size: Size{Counters: counters}, Cores: 8, Threads: 2,
+			Phases: []Phase{{Name: "steady", Done: true, Spends: []Spend{{Role: "counter", Daemons: counters, CPU: float64(counters), Kinds: kinds}}}}}
+	}
+	ack := Kind{Kind: "rounds.Ack", Messages: 9}
+	list := SlopesOf([]Run{run(1, ack), run(2, ack), run(3, ack, Kind{Kind: "counter.Inquiry", Messages: 0.06}), run(4, Kind{Kind: "rollcall.Suspect", Messages: 1})})
+	is.Equal(list[0].Fit.Points, 2)
+	is.Equal([]bool{list[0].Points[0].Out, list[0].Points[1].Out, list[0].Points[2].Out, list[0].Points[3].Out}, []bool{false, false, true, true})
+}
+
 // One change is what its phase cost beyond the steady state, by the change.
 func TestOneChange(t *testing.T) {
 	is := is.New(t)
--- a/internal/hollow/plot.go
+++ b/internal/hollow/plot.go
@@ -28,7 +28,7 @@
 		points plotter.XYs
 		name   string
 		colour color.Color
-	}{{in, "measured", color.RGBA{B: 200, A: 255}}, {out, "left out: machine full", color.Gray{150}}} {
+	}{{in, "measured", color.RGBA{B: 200, A: 255}}, {out, "left out: machine full, or not at rest", color.Gray{150}}} {
 		if len(group.points) == 0 {
 			continue
 		}
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -60,6 +60,11 @@
 					s.CPU, s.Busiest, s.Memory, s.Sent, s.Received, s.Messages, s.Lost, s.Files, p.Lag.P50, p.Lag.P99, p.Lag.Max, mostly)
 			}
 		}
+		for _, p := range run.Phases {
+			if n := p.Distrust(); n > restless && (p.Name == "steady" || p.Name == "change") {
+				fmt.Fprintf(w, "not at rest: %s, %.2f inquiries and suspicions a second from each counter\n", p.Name, n)
+			}
+		}
 		fmt.Fprintf(w, "machine: load %.1f on %d processors, %d threads a process\n", run.Load, run.Cores, run.Threads)
 		if run.Stopped != "" {
 			fmt.Fprintf(w, "stopped at %s: %s\n", run.Size, run.Stopped)
--- a/internal/hollow/slopes.go
+++ b/internal/hollow/slopes.go
@@ -32,8 +32,29 @@
 // which a run measures what it runs on.
 const full = 0.85
 
-// saturated tells whether a phase measured the machine and not the fleet.
+// restless is how many words of distrust a counter may send in a second while
+// a fleet still counts as at rest.
+const restless = 0.05
+
+// Distrust is how many inquiries and suspicions each counter sent in a second: a
+// fleet that sends them no longer keeps up, and tells itself ever more.
+func (p Phase) Distrust() float64 {
+	s, _ := p.Of("counter")
+	sum := 0.0
+	for _, k := range s.Kinds {
+		if k.Kind == "counter.Inquiry" || k.Kind == "rollcall.Suspect" {
+			sum += k.Messages
+		}
+	}
+	return sum
+}
+
+// saturated tells whether a phase measured a machine that is full, or a fleet
+// that doesn't keep up, and not what a fleet costs.
 func saturated(r Run, p Phase) bool {
+	if (p.Name == "steady" || p.Name == "change") && p.Distrust() > restless {
+		return true
+	}
 	all := 0.0
 	for _, s := range p.Spends {
 		all += s.CPU * float64(s.Daemons)
