--- a/internal/hollow/crew.go
+++ b/internal/hollow/crew.go
@@ -30,7 +30,7 @@
 	Block   int      `help:"Second number of the loopback addresses." required:""`
 	Seeds   []string `help:"Addresses of three stockrooms." required:""`
 	HTTP    string   `help:"Where to answer." name:"http" required:""`
-	Thrifty bool     `help:"Places by cell, and a lease without end."`
+	Thrifty bool     `help:"As counters with --by-cell, and a lease without end."`
 }
 
 // shell is one counter without its pages, desks and circuits to targets.
@@ -88,7 +88,7 @@
 		if p.Thrifty {
 			o = counter.Options{Lease: counter.Endless, Layout: counter.Layout{ByCell: true}}
 		}
-		s := &shell{control: counter.New(rollcall.Params{Self: self, Seeds: seeds}, o), stock: map[ticket.Name]desk.Stock{}}
+		s := &shell{control: counter.New(rollcall.Params{Self: self, Seeds: seeds, Thrifty: p.Thrifty}, o), stock: map[ticket.Name]desk.Stock{}}
 		s.post = &hoist.Post{Address: at, Log: log, Tally: &c.tally,
 			Deliver: func(from ticket.Address, msg any) { s.owner.Offer(works.Heard{From: from, Msg: msg}) }}
 		s.owner = hoist.NewOwner(s.control, beat, s.do)
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -70,10 +70,10 @@
 			x := &proc{role: role, name: fmt.Sprintf("%s-%d", role, n+1), daemons: 1, http: coreAt(p.Block, i+1, n, pagesPort), program: filepath.Join(p.Bin, role)}
 			x.args = []string{"--name", x.name, "--address", coreAt(p.Block, i+1, n, wirePort), "--http", x.http,
 				"--cell", string(s.Cell(n)), "--seeds", strings.Join(seeds, ",")}
-			switch {
-			case role == "stockroom":
+			if role == "stockroom" {
 				x.args = append(x.args, "--data", filepath.Join(p.Dir, x.name))
-			case p.Thrifty:
+			}
+			if p.Thrifty {
 				x.args = append(x.args, "--thrifty")
 			}
 			f.procs = append(f.procs, x)
--- a/internal/hollow/phases.go
+++ b/internal/hollow/phases.go
@@ -23,6 +23,10 @@
 			ph.Note = fmt.Sprintf("change %d of %d (%d items and %d bytes in) declined after %.1f s: %v", i+1, len(list), x.run.Items, x.run.Policy, took.Seconds(), err)
 			return
 		}
+		if took > x.Within {
+			ph.Note = fmt.Sprintf("change %d of %d took %.1f s, %d items and %d bytes in", i+1, len(list), took.Seconds(), x.run.Items, x.run.Policy)
+			return
+		}
 		x.revision, slowest = rev, max(slowest, took)
 		x.run.Policy += len(raw)
 		x.run.Items += min(perChange, x.Cells+x.Services+x.Routes+x.Tenants-x.run.Items)
--- a/internal/premises/foreman.go
+++ b/internal/premises/foreman.go
@@ -23,7 +23,7 @@
 	params.Common
 	PlanEvery time.Duration `help:"How often the spill is planned." default:"30s"`
 	Lifetime  time.Duration `help:"How long an answer of the directory may be trusted, 3s at most." default:"2s"`
-	Thrifty   bool          `help:"Tell of targets only as something changes, and other foremen only what they can't know."`
+	Thrifty   bool          `help:"Tell only of what changes, and each counter by two foremen alone; the same on all core daemons."`
 	// Options that a platform's own start sets.
 	Regions map[ticket.Name]string `kong:"-"`
 	Always  bool                   `kong:"-"`
@@ -45,7 +45,7 @@
 // RunForeman runs a foreman until the context ends.
 func RunForeman(ctx context.Context, p ForemanParams) error {
 	log := hoist.NewLog(p.Log, p.Name)
-	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList()},
+	m := foreman.New(foreman.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Foreman), Seeds: p.SeedList(), Thrifty: p.Thrifty},
 		PlanEvery: p.PlanEvery, Lifetime: p.Lifetime, Regions: p.Regions, Thrifty: p.Thrifty, Always: p.Always, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
 	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log, Tally: &hoist.Tally{}}
 	win := &window.Window{Log: log.Event}
