--- a/internal/premises/stockroom.go
+++ b/internal/premises/stockroom.go
@@ -28,9 +28,9 @@
 // StockroomParams are what a stockroom is told at its start.
 type StockroomParams struct {
 	params.Common
-	Data   string `help:"The data folder, held by this process alone." required:"" placeholder:"DIR"`
-	Copies int    `help:"How many stockrooms keep each item: one more than twice the disks that may be lost at once." default:"3"`
-	Thrifty bool `help:"Compare rolls by parts and tell only of what differs, as foremen do."`
+	Data    string `help:"The data folder, held by this process alone." required:"" placeholder:"DIR"`
+	Copies  int    `help:"How many stockrooms keep each item: one more than twice the disks that may be lost at once." default:"3"`
+	Thrifty bool   `help:"Compare rolls by parts and tell only of what differs, as foremen do."`
 }
 
 // live runs a daemon's services while its pages are served, then lets go.
