--- a/internal/premises/stockroom.go
+++ b/internal/premises/stockroom.go
@@ -28,10 +28,9 @@
 // StockroomParams are what a stockroom is told at its start.
 type StockroomParams struct {
 	params.Common
-	Data   string `help:"The data folder, held by this process alone." required:"" placeholder:"DIR"`
-	Copies int    `help:"How many stockrooms keep each item: one more than twice the disks that may be lost at once." default:"3"`
-	// Thrifty is as with foremen.
-	Thrifty bool `kong:"-"`
+	Data    string `help:"The data folder, held by this process alone." required:"" placeholder:"DIR"`
+	Copies  int    `help:"How many stockrooms keep each item: one more than twice the disks that may be lost at once." default:"3"`
+	Thrifty bool   `help:"Compare rolls by parts and tell only of what differs, as foremen do."`
 }
 
 // live runs a daemon's services while its pages are served, then lets go.
@@ -146,7 +145,7 @@
 	}
 	m := stockroom.New(stockroom.Params{Params: rollcall.Params{Self: Self(p.Common, rollcall.Stockroom), Seeds: p.SeedList(), Thrifty: p.Thrifty},
 		Copies: p.Copies, Store: disk.Store, Run: disk.Run, Shelf: disk, Dice: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
-	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log}
+	post := &hoist.Post{Address: ticket.Address(p.Address), Bind: ticket.Address(p.Bind), Log: log, Tally: &hoist.Tally{}}
 	c := &committer{shelf: disk, log: log, inbox: make(chan works.Settle, 1<<16)}
 	disk.Broken = c.fatal
 	orders := make(chan stockroom.Refounding, 1)
@@ -178,9 +177,9 @@
 	mux.HandleFunc("POST /v1/core/refound", func(rw http.ResponseWriter, r *http.Request) { refound(rw, r, owner, orders) })
 	rollHealth(mux, m.Me, &stopping)
 	Metrics(mux, func() []Gauge {
-		return []Gauge{{Name: "disk_syncs_total", Value: float64(c.syncs.Load()), Total: true},
+		return append(Wire(post.Tally), []Gauge{{Name: "disk_syncs_total", Value: float64(c.syncs.Load()), Total: true},
 			{Name: "disk_records_total", Value: float64(c.records.Load()), Total: true},
-			{Name: "disk_inbox_length", Value: float64(len(c.inbox))}}
+			{Name: "disk_inbox_length", Value: float64(len(c.inbox))}}...)
 	})
 	return live(ctx, "stockroom", log, &stopping, func() error { return window.Serve(ctx, pages, mux, 1700*time.Millisecond) },
 		owner, c, Task("post", func(x context.Context) error { return post.Serve(x, wire) }))
--- a/internal/yard/yard.go
+++ b/internal/yard/yard.go
@@ -134,27 +134,6 @@
 	return changed
 }
 
-// last gives the entry as of its target's last word.
-func (e *entry) last() Target {
-	t := e.Target
-	t.Sequence = max(t.Sequence, e.newest)
-	return t
-}
-
-// coldSlack is how far two words on the same cold time may differ.
-const coldSlack = 300 * time.Millisecond
-
-// alike tells whether a later word says nothing new of its target.
-func (e *entry) alike(now ticket.Tick, t Target) bool {
-	u := e.Target
-	cold := now.Add(time.Duration(t.Cold) * time.Millisecond)
-	if t.Cold > 0 && cold.Since(e.cold) > coldSlack {
-		return false
-	}
-	u.Sequence, u.Age, u.Cold, u.Occupancy = t.Sequence, t.Age, t.Cold, t.Occupancy
-	return u == t
-}
-
 // displace ends whoever had the address before its newer owner.
 func (y *Yard) displace(t Target) []Target {
 	var out []Target
