A body that nests without end no longer ends the process that reads it

Cause: whether a body is JSON was asked of gjson, which reads each level by a call of its own. A configuration of 8 MiB of brackets passed the largest stack there is and ended the foreman; one of 1 MiB, which beats and changes may have, took 128 MiB. A source over ten thousand levels could be kept by no register, and its caller was told "uncertain" for ever.

Ruled out: encoding/json's own check (it stops at ten thousand, and changes are told which path nests too deep beyond that).

--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -9,6 +9,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
 
+	"dunlinwell/internal/sound"
 	"dunlinwell/internal/ticket"
 )
 
@@ -74,7 +75,7 @@
 	var faults []Fault
 	item := "change"
 	bad := func(path, why string) { faults = append(faults, Fault{item, path, why}) }
-	if !gjson.ValidBytes(raw) {
+	if !sound.JSON(raw) {
 		bad("", "is not valid JSON")
 		return c, faults
 	}
--- a/internal/catalogue/given.go
+++ b/internal/catalogue/given.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/tidwall/gjson"
+
+	"dunlinwell/internal/sound"
 )
 
 // ReadMerging reads and checks the words of a merging; all faults are listed.
@@ -14,7 +16,7 @@
 	item := "merging"
 	bad := func(path, why string) { faults = append(faults, Fault{item, path, why}) }
 	doc := gjson.ParseBytes(raw)
-	if !gjson.ValidBytes(raw) || !doc.IsObject() {
+	if !sound.JSON(raw) || !doc.IsObject() {
 		bad("", "is not a JSON object")
 		return m, faults
 	}
@@ -75,3 +77,17 @@
 		bad("", "must have one of body and removed")
 	}
 }
+
+// deepestSource is how far a source may nest: encoding/json reads no more than
+// ten thousand levels, and what it can't read again nobody could keep.
+const deepestSource = 256
+
+func checkSource(raw json.RawMessage, bad func(path, why string)) {
+	switch {
+	case len(raw) == 0:
+	case sound.Depth(raw) > deepestSource:
+		bad("source", "nests too deep")
+	case !sound.JSON(raw):
+		bad("source", "is not valid JSON")
+	}
+}
--- a/internal/catalogue/given_test.go
+++ b/internal/catalogue/given_test.go
@@ -1,7 +1,10 @@
 package catalogue
 
 import (
+	"encoding/json"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,3 +57,23 @@
 	_, r = change(t, p, "1", service)
 	is.True(r.Accepted())
 }
+
+// What nests thousands deep could be kept by nobody: it is a fault, not an
+// uncertain end.
+func TestDeepSourcesAreFaults(t *testing.T) {
+	is := is.New(t)
+	nested := func(n int) Given {
+		g := givenService("wader", 1)
+		g.Source = json.RawMessage(`{"a":"[[[[{\"","b":` + strings.Repeat("[", n) + strings.Repeat("]", n) + `}`)
+		return g
+	}
+	is.Equal(len(merging(nested(deepestSource-1)).Check()), 0)
+	for _, n := range []int{deepestSource, 20000, 1000000} {
+		from := time.Now()
+		is.Equal(merging(nested(n)).Check(), []Fault{{"service/wader", "source", "nests too deep"}})
+		is.True(time.Since(from) < 2*time.Second)
+	}
+	g := givenService("wader", 1)
+	g.Source = json.RawMessage(`{"a":`)
+	is.Equal(merging(g).Check(), []Fault{{"service/wader", "source", "is not valid JSON"}})
+}
--- a/internal/catalogue/merge.go
+++ b/internal/catalogue/merge.go
@@ -6,10 +6,10 @@
 	"maps"
 	"slices"
 
-	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
 
 	"dunlinwell/internal/ledger"
+	"dunlinwell/internal/sound"
 	"dunlinwell/internal/ticket"
 )
 
@@ -59,10 +59,11 @@
 		if g.Removed {
 			continue
 		}
-		if !gjson.ValidBytes(g.Body) {
+		if !sound.JSON(g.Body) {
 			bad("", "is not valid JSON")
 			continue
 		}
+		checkSource(g.Source, bad)
 		checkGiven(g.Kind, string(g.Body), bad)
 	}
 	return faults
--- a/internal/yard/announce.go
+++ b/internal/yard/announce.go
@@ -7,6 +7,8 @@
 	"regexp"
 
 	"github.com/tidwall/gjson"
+
+	"dunlinwell/internal/sound"
 )
 
 var (
@@ -28,7 +30,7 @@
 	var t Target
 	bad := map[string]string{}
 	doc := gjson.ParseBytes(raw)
-	if !gjson.ValidBytes(raw) || !doc.IsObject() {
+	if !sound.JSON(raw) || !doc.IsObject() {
 		bad["(body)"] = "must be a JSON object"
 		return t, bad
 	}
