--- a/internal/counter/run.go
+++ b/internal/counter/run.go
@@ -120,6 +120,7 @@
 	flag := map[bool]float64{true: 1}
 	out := []premises.Gauge{{Name: "ready", Value: flag[f.Ready]}, {Name: "cut_off", Value: flag[f.CutOff]}, {Name: "emptied", Value: flag[f.Emptied]},
 		{Name: "held_bytes", Value: float64(d.hold.used.Load())}}
+	out = append(out, premises.Wire(d.post.Tally)...)
 	for _, n := range d.services() {
 		p := d.at(n)
 		p.mu.Lock()
--- /dev/null
+++ b/internal/hoist/dial.go
@@ -0,0 +1,29 @@
+package hoist
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"dunlinwell/internal/problem"
+	"dunlinwell/internal/ticket"
+)
+
+func (p *Post) dial(ctx context.Context, to ticket.Address) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialWithin, Control: func(_, _ string, raw syscall.RawConn) error {
+		// A circuit that a cut has swallowed must end soon, not after the
+		// kernel's own quarter of an hour.
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, TCPUserLimit, int(writeWithin/time.Millisecond))
+		})
+	}}
+	if a, err := netip.ParseAddrPort(string(p.Address)); err == nil && p.Bind == "" {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a.Addr(), 0))
+	} else if a, err := netip.ParseAddrPort(string(p.Bind)); err == nil {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a.Addr(), 0))
+	}
+	c, err := d.DialContext(ctx, "tcp", string(to))
+	return c, problem.At(err, "dial", string(to))
+}
