--- a/internal/desk/again.go
+++ b/internal/desk/again.go
@@ -40,3 +40,14 @@
 	d.Tally.Retried++
 	d.admit(now, j)
 }
+
+// ferried counts a request that leaves, by how far it goes.
+func (t *Tally) ferried(distance float64) {
+	t.Ferried++
+	switch {
+	case distance > 1:
+		t.Far++
+	case distance > 0:
+		t.Region++
+	}
+}
--- a/internal/desk/steps.go
+++ b/internal/desk/steps.go
@@ -169,13 +169,7 @@
 	j.sends++
 	j.turn++
 	j.placed = now
-	d.Tally.Ferried++
-	switch {
-	case s.Distance > 1:
-		d.Tally.Far++
-	case s.Distance > 0:
-		d.Tally.Region++
-	}
+	d.Tally.ferried(s.Distance)
 	d.Do(Ferry{ID: j.ID, Turn: j.turn, Target: s.Target, Due: j.Due, By: min(j.Due, d.lease), Fresh: j.marked(), Careful: j.Single})
 }
 
