Daemons log what most of the bytes they send are

First use: a grown site sends 150 MB of pushes in the ten seconds before traffic, each with all that isn't acknowledged yet.

--- a/internal/hoist/post.go
+++ b/internal/hoist/post.go
@@ -67,6 +67,9 @@
 	p.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
+	if p.Tally != nil {
+		go p.sayWire(ctx)
+	}
 	for {
 		c, err := l.Accept()
 		if err != nil {
