--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -9,6 +9,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
 
+	"dunlinwell/internal/sound"
 	"dunlinwell/internal/ticket"
 )
 
@@ -74,7 +75,7 @@
 	var faults []Fault
 	item := "change"
 	bad := func(path, why string) { faults = append(faults, Fault{item, path, why}) }
-	if !gjson.ValidBytes(raw) {
+	if !sound.JSON(raw) {
 		bad("", "is not valid JSON")
 		return c, faults
 	}
@@ -223,6 +224,6 @@
 		t.Version = max(t.Version, v+1)
 	}
 	delete(p.Removed, part.Kind+"/"+string(part.Name))
-	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), At: p.Revision}
+	items[part.Name] = Item{Version: t.Version, Body: pretty.Ugly(body), At: p.Revision, Merged: have.merged()}
 	return t
 }
--- a/internal/catalogue/merge.go
+++ b/internal/catalogue/merge.go
@@ -4,11 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
-	"github.com/tidwall/gjson"
 	"github.com/tidwall/pretty"
 
 	"dunlinwell/internal/ledger"
+	"dunlinwell/internal/sound"
 	"dunlinwell/internal/ticket"
 )
 
@@ -58,10 +59,11 @@
 		if g.Removed {
 			continue
 		}
-		if !gjson.ValidBytes(g.Body) {
+		if !sound.JSON(g.Body) {
 			bad("", "is not valid JSON")
 			continue
 		}
+		checkSource(g.Source, bad)
 		checkGiven(g.Kind, string(g.Body), bad)
 	}
 	return faults
@@ -75,10 +77,11 @@
 		return p, res
 	}
 	next := p.copy()
-	changed := false
+	changed, orphaned := false, false
 	for _, g := range m.Items {
 		if next.merge(g) {
 			changed = true
+			orphaned = orphaned || g.Kind == "service" && g.Removed
 		}
 		v, _ := next.version(g.Kind, g.Name)
 		res.Items = append(res.Items, Touched{Kind: g.Kind, Name: g.Name, Version: v})
@@ -90,9 +93,14 @@
 			res.Faults = append(res.Faults, next.unknownServices(g.Name, g.Body)...)
 		}
 	}
-	if changed {
+	// The others stand by services that they had, unless some of those went.
+	if orphaned {
 		for _, n := range sorted(next.Routes) {
-			res.Faults = append(res.Faults, next.unknownServices(n, next.Routes[n].Body)...)
+			for _, f := range next.unknownServices(n, next.Routes[n].Body) {
+				if !slices.Contains(res.Faults, f) {
+					res.Faults = append(res.Faults, f)
+				}
+			}
 		}
 	}
 	if len(res.Faults) > 0 {
@@ -132,7 +140,7 @@
 		return true
 	}
 	delete(p.Removed, key)
-	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source, At: p.Revision}
+	p.Of(g.Kind)[g.Name] = Item{Version: g.Version, Body: pretty.Ugly(g.Body), Source: g.Source, At: p.Revision, Merged: true}
 	return true
 }
 
--- a/internal/counter/circuit.go
+++ b/internal/counter/circuit.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 type circuit struct {
 	net.Conn
 	read  *bufio.Reader
+	bound *io.LimitedReader
 	idled ticket.Tick
 	// usable is how long it may be idle and still be used.
 	usable time.Duration
--- a/internal/counter/circuits.go
+++ b/internal/counter/circuits.go
@@ -165,7 +165,8 @@
 		return nil, problem.At(err, "dial target", string(t.Address))
 	}
 	c := &circuit{Conn: conn}
-	c.read = bufio.NewReader(c)
+	c.bound = &io.LimitedReader{R: c, N: mostHead}
+	c.read = bufio.NewReader(c.bound)
 	if !p.greets {
 		return c, nil
 	}
--- a/internal/hoist/post.go
+++ b/internal/hoist/post.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"context"
 	"net"
-	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"dunlinwell/internal/parcel"
@@ -30,6 +28,8 @@
 	Log     *Log
 	// Dial opens a circuit to a peer; our own way by default.
 	Dial func(ctx context.Context, to ticket.Address) (net.Conn, error)
+	// Tally, if set, counts what goes over the wire.
+	Tally *Tally
 
 	mu    sync.Mutex
 	lines map[ticket.Address]chan []byte
@@ -87,13 +87,14 @@
 	r := bufio.NewReaderSize(c, 64<<10)
 	var from ticket.Address
 	for {
-		_, msg, err := parcel.Read(r)
+		head, msg, err := parcel.Read(r)
 		if err != nil {
 			if ctx.Err() == nil && !ended(err) {
 				p.Log.Event("warn", "circuit closed", "peer", c.RemoteAddr().String(), "problem", err.Error())
 			}
 			return
 		}
+		p.Tally.count(Received, head.Kind, head.Size())
 		if g, ok := msg.(Greeting); ok {
 			from = g.Address
 			continue
@@ -133,6 +134,7 @@
 	select {
 	case line <- raw:
 	default:
+		p.Tally.count(Lost, parcel.KindOf(raw), len(raw))
 	}
 }
 
@@ -176,7 +178,8 @@
 		}
 		// What waits for a peer that isn't there is old by the time it is.
 		for len(line) > lineLength/2 {
-			<-line
+			old := <-line
+			p.Tally.count(Lost, parcel.KindOf(old), len(old))
 		}
 		select {
 		case <-ctx.Done():
@@ -186,23 +189,6 @@
 	}
 }
 
-func (p *Post) dial(ctx context.Context, to ticket.Address) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialWithin, Control: func(_, _ string, raw syscall.RawConn) error {
-		// A circuit that a cut has swallowed must end soon, not after the
-		// kernel's own quarter of an hour.
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, TCPUserLimit, int(writeWithin/time.Millisecond))
-		})
-	}}
-	if a, err := netip.ParseAddrPort(string(p.Address)); err == nil && p.Bind == "" {
-		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a.Addr(), 0))
-	} else if a, err := netip.ParseAddrPort(string(p.Bind)); err == nil {
-		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a.Addr(), 0))
-	}
-	c, err := d.DialContext(ctx, "tcp", string(to))
-	return c, problem.At(err, "dial", string(to))
-}
-
 // write carries the line's messages; true once the line was idle and dropped.
 func (p *Post) write(ctx context.Context, c net.Conn, to ticket.Address, first []byte, line chan []byte) bool {
 	defer c.Close()
@@ -225,6 +211,7 @@
 			if err == nil && len(line) == 0 {
 				err = w.Flush()
 			}
+			p.Tally.count(Sent, parcel.KindOf(raw), len(raw))
 			if err != nil {
 				p.Log.Event("warn", "circuit lost", "peer", string(to), "problem", err.Error())
 				return false
