Nothing twice in flight; the second foreman holds back; keepers named from the first word

Cause: each push to a counter held all that it had not acknowledged yet; on links of 2.2 Mbit/s, where an acknowledgement takes half a second, 150 MB in the ten seconds before a grown site's traffic. A target that was told to speak to another foreman was news twice, and rolls in flux were compared all the time.

Change: what is in flight waits for its time, which grows while nothing comes back; of a counter's two foremen the farther one holds back what isn't urgent, and an acknowledgement that sums up the same targets settles it; the foreman that a target is told to speak to is its keeper at once; rolls are compared where they go on differing for 1.2 s.

--- a/internal/counter/control.go
+++ b/internal/counter/control.go
@@ -172,7 +172,7 @@
 		c.confirm(p.Revision, p.Echo.Add(-age(p.Age)))
 	}
 	c.restock(now)
-	c.Tell(from, rounds.Ack{Counter: c.Self.ID, Start: c.Self.Start, Number: p.Number, Revision: c.view.Revision, Now: now})
+	c.Tell(from, rounds.Ack{Counter: c.Self.ID, Start: c.Self.Start, Number: p.Number, Revision: c.view.Revision, Now: now, Yard: c.yard.Exact()})
 }
 
 // adopt takes a newer policy; a counter never goes back to an older one.
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -97,7 +97,8 @@
 		f.Books.Span = 2*p.PlanEvery + 100*time.Millisecond
 	}
 	if p.Thrifty {
-		f.Rounds.WordEvery = time.Second
+		f.Rounds.WordEvery, f.Rounds.ResendAfter = time.Second, 400*time.Millisecond
+		f.Rounds.Spare = func(c rollcall.Member) bool { return !f.nearest(c) }
 	}
 	f.policy, _ = catalogue.Open(nil)
 	f.view = f.policy.View()
@@ -211,6 +212,9 @@
 		}
 	case rounds.Ack:
 		f.Rounds.Acked(now, m)
+		if f.params.Thrifty && !f.Rounds.Knows(m.Counter, m.Start) && m.Yard == f.Yard.Exact() {
+			f.Rounds.HasAll(m.Counter, m.Start, f.Yard.All(now))
+		}
 		f.part(now)
 	case yard.Share:
 		f.shared(now, m.List)
--- a/internal/foreman/leaving.go
+++ b/internal/foreman/leaving.go
@@ -25,7 +25,10 @@
 // announced takes a target's word.
 func (f *Foreman) announced(now ticket.Tick, c AnnounceCall) {
 	if f.params.Thrifty {
-		c.Target.Keeper, c.Target.Run = f.Self.ID, f.Self.Start
+		// The one that it is told to speak to keeps it, from the first word on:
+		// a keeper that changes is news for everybody.
+		k := f.keeperFor(now, c.Target)
+		c.Target.Keeper, c.Target.Run = k.ID, k.Start
 	}
 	changed := f.Yard.Merge(now, c.Target)
 	f.taken(now, changed)
@@ -44,8 +47,8 @@
 		return
 	}
 	body := map[string]any{"known": len(changed) > 0}
-	if at := f.keeperFor(now, c.Target); at != "" {
-		body["keeper"] = at
+	if k := f.keeperFor(now, c.Target); k.Address != "" {
+		body["keeper"] = k.Address
 	}
 	f.Do(Response{ID: c.ID, Status: 200, Body: body})
 }
@@ -82,9 +85,9 @@
 // keeperFor names the foreman that a target should speak to: one of its own
 // cell or region, so that its words go no further than they have to, and by lot
 // where several stand as near.
-func (f *Foreman) keeperFor(now ticket.Tick, t yard.Target) ticket.Address {
+func (f *Foreman) keeperFor(now ticket.Tick, t yard.Target) rollcall.Member {
 	if !f.params.Thrifty {
-		return ""
+		return rollcall.Member{}
 	}
 	f.served(now)
 	var best rollcall.Member
@@ -94,7 +97,7 @@
 			best = m
 		}
 	}
-	return best.Address
+	return best
 }
 
 // gone takes a target's word that it ends, where it says no more than its name.
--- a/internal/foreman/peers.go
+++ b/internal/foreman/peers.go
@@ -175,9 +175,7 @@
 	slices.SortFunc(order, func(a, b rollcall.Member) int {
 		return cmp.Or(cmp.Compare(lot(c.ID, a.ID), lot(c.ID, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	near := slices.MinFunc(order, func(a, b rollcall.Member) int {
-		return cmp.Compare(f.view.Distance(c.Cell, a.Cell), f.view.Distance(c.Cell, b.Cell))
-	})
+	near := f.near(c, order)
 	if near.ID == f.Self.ID {
 		return true
 	}
@@ -185,6 +183,19 @@
 	return slices.ContainsFunc(order[:serveBy-1], func(m rollcall.Member) bool { return m.ID == f.Self.ID })
 }
 
+// near gives the foreman of an order that stands nearest to a counter.
+func (f *Foreman) near(c rollcall.Member, order []rollcall.Member) rollcall.Member {
+	return slices.MinFunc(order, func(a, b rollcall.Member) int {
+		return cmp.Or(cmp.Compare(f.view.Distance(c.Cell, a.Cell), f.view.Distance(c.Cell, b.Cell)), cmp.Compare(lot(c.ID, a.ID), lot(c.ID, b.ID)))
+	})
+}
+
+// nearest tells whether this foreman is the one that delivers to a counter
+// first; the other is there in case that it doesn't.
+func (f *Foreman) nearest(c rollcall.Member) bool {
+	return len(f.group) == 0 || f.near(c, f.group).ID == f.Self.ID
+}
+
 func lot(a, b ticket.Daemon) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(a))
--- a/internal/rollcall/parts.go
+++ b/internal/rollcall/parts.go
@@ -15,6 +15,8 @@
 	// compareEvery is how often at most a roll is compared with one peer's. What
 	// just changed is on its way to both by itself.
 	compareEvery = time.Second
+	// differFor is how long it must differ from one that was compared before.
+	differFor = 1200 * time.Millisecond
 	// relayMost bounds the members of one relayed message.
 	relayMost = 64
 )
@@ -59,6 +61,14 @@
 	if at, ok := r.asked[peer.ID]; ok && now.Since(at) < compareEvery {
 		return
 	}
+	// What changed just now is on its way to both; what differs for longer got lost.
+	since, ok := r.differs[peer.ID]
+	if !ok {
+		r.differs[peer.ID] = now
+	}
+	if _, met := r.asked[peer.ID]; met && (!ok || now.Since(since) < differFor) {
+		return
+	}
 	r.asked[peer.ID] = now
 	r.out.Tell(peer.Address, Outline{Parts: r.parts[:]})
 }
--- a/internal/rollcall/roll.go
+++ b/internal/rollcall/roll.go
@@ -25,13 +25,13 @@
 	dirty   bool
 	// all and stood are the members in order of id, and those standing in order
 	// of the ring; nil once they have to be drawn up anew.
-	all, stood []Member
-	parts      [parts]uint64
-	knocks     int
-	asked      map[ticket.Daemon]ticket.Tick
-	changed    []ticket.Daemon
-	version    uint64
-	shown      uint64
+	all, stood     []Member
+	parts          [parts]uint64
+	knocks         int
+	asked, differs map[ticket.Daemon]ticket.Tick
+	changed        []ticket.Daemon
+	version        uint64
+	shown          uint64
 	// MayJudge, if set, tells whether this foreman may count others as gone.
 	MayJudge func(now ticket.Tick) bool
 	page     atomic.Pointer[page]
@@ -46,7 +46,7 @@
 func New(p Params, out *works.Out) *Roll {
 	p.fill()
 	p.Self.Sequence = 1
-	r := &Roll{Params: p, out: out, dirty: true, asked: map[ticket.Daemon]ticket.Tick{},
+	r := &Roll{Params: p, out: out, dirty: true, asked: map[ticket.Daemon]ticket.Tick{}, differs: map[ticket.Daemon]ticket.Tick{},
 		members: map[ticket.Daemon]Member{p.Self.ID: p.Self},
 		heard:   map[ticket.Daemon]ticket.Tick{},
 		doubts:  map[ticket.Daemon]map[ticket.Daemon]doubt{}}
@@ -168,6 +168,8 @@
 		// Copies that differ merge at once rather than in rounds.
 		if m.Digest != r.sum() {
 			r.differ(now, m.Self)
+		} else {
+			delete(r.differs, m.Self.ID)
 		}
 	case Outline:
 		r.compare(from, m)
--- a/internal/rounds/rounds.go
+++ b/internal/rounds/rounds.go
@@ -45,6 +45,8 @@
 	Revision ticket.Revision
 	// Now is the counter's own time, to be echoed.
 	Now ticket.Tick
+	// Yard sums up the targets that it goes by, whoever told it of them.
+	Yard uint64
 }
 
 // CountedAs gives the number acknowledged.
@@ -59,6 +61,11 @@
 	list  map[ticket.Daemon]*account
 	// WordEvery is how often a counter hears from us where nothing is new.
 	WordEvery time.Duration
+	// ResendAfter is how long at first what was sent is given to be acknowledged.
+	ResendAfter time.Duration
+	// Spare, if set, tells which counters somebody else delivers to first: what
+	// isn't urgent is held back from them, as they are likely to have it by then.
+	Spare func(c rollcall.Member) bool
 }
 
 type account struct {
@@ -68,6 +75,14 @@
 	revision ticket.Revision
 	ackedAt  ticket.Tick
 	sent     ticket.Tick
+	// flying is what was sent and may still be acknowledged: on a thin or long
+	// link, sending all of it again with each push would choke it. patience is how
+	// long that takes; it grows while nothing comes back.
+	flying   map[ticket.Instance]flight
+	policy   flight
+	patience time.Duration
+	// held: something that it lacks isn't in flight.
+	held bool
 	// open holds, for each push not yet acknowledged, what was in it.
 	open map[ticket.Number][]stamp
 	has  map[ticket.Instance]stamp
@@ -87,13 +102,17 @@
 
 // New makes empty accounts.
 func New(start ticket.Start, out *works.Out) *Rounds {
-	return &Rounds{out: out, start: start, WordEvery: wordEvery, list: map[ticket.Daemon]*account{}}
+	return &Rounds{out: out, start: start, WordEvery: wordEvery, ResendAfter: resendAfter, list: map[ticket.Daemon]*account{}}
 }
 
 const (
 	resendAfter = 150 * time.Millisecond
 	wordEvery   = 300 * time.Millisecond
 	mostOpen    = 64
+	// mostPatience bounds the wait for one that says nothing at all.
+	mostPatience = 600 * time.Millisecond
+	// holdBack is how long what isn't urgent waits where another delivers first.
+	holdBack = 700 * time.Millisecond
 )
 
 // Consignment is what there is to deliver.
@@ -122,7 +141,7 @@
 		a := r.list[c.ID]
 		// A counter's new run has nothing: it gets a snapshot.
 		if a == nil || a.start != c.Start {
-			a = &account{start: c.Start, open: map[ticket.Number][]stamp{}, has: map[ticket.Instance]stamp{}}
+			a = &account{patience: r.ResendAfter, flying: map[ticket.Instance]flight{}, start: c.Start, open: map[ticket.Number][]stamp{}, has: map[ticket.Instance]stamp{}}
 			r.list[c.ID] = a
 		}
 		r.deliver(now, c, a, load)
@@ -131,32 +150,32 @@
 
 func (r *Rounds) deliver(now ticket.Tick, c rollcall.Member, a *account, load Consignment) {
 	old := a.seen != load.Version || a.revision < load.Revision
-	owed := len(a.open) > 0 || a.revision < load.Revision
-	due := a.seen != load.Version || (a.told == 0 && a.echo != 0) || (owed && now.Since(a.sent) >= resendAfter) || now.Since(a.sent) >= r.WordEvery
+	owed := len(a.open) > 0 || a.revision < load.Revision || a.held
+	due := a.seen != load.Version || (a.told == 0 && a.echo != 0) || (owed && now.Since(a.sent) >= a.patience) || now.Since(a.sent) >= r.WordEvery
 	if !due {
 		return
 	}
 	a.number++
 	p := Push{Number: a.number, Start: r.start, Revision: load.Revision, Echo: a.echo, For: a.start, Age: uint32(min(load.Age/time.Millisecond, 1<<30))}
-	if a.revision < load.Revision {
+	if a.revision < load.Revision && a.due(now, a.policy, a.policy.revision == load.Revision) {
 		p.Policy = load.Policy(a.revision)
+		a.policy = flight{revision: load.Revision, until: now.Add(a.patience)}
 	}
 	var in []stamp
 	if old || owed {
-		for _, t := range load.Targets() {
-			if a.has[t.Instance] != stampOf(t) {
-				p.Targets = append(p.Targets, t)
-				in = append(in, stampOf(t))
-			}
-		}
+		p.Targets, in = r.lacking(now, c, a, load.Targets())
 	}
 	// Only the newest few can still be acknowledged; the rest is sent again.
 	if len(a.open) >= mostOpen {
 		clear(a.open)
+		a.held = true
 	}
 	if len(in) > 0 {
 		a.open[a.number] = in
 	}
+	if owed && now.Since(a.ackedAt) >= a.patience {
+		a.patience = min(2*a.patience, mostPatience)
+	}
 	a.sent, a.seen, a.told = now, load.Version, a.echo
 	r.out.Tell(c.Address, p)
 }
@@ -168,9 +187,13 @@
 		return
 	}
 	a.ackedAt, a.echo = now, max(a.echo, m.Now)
+	a.patience = r.ResendAfter
 	a.acked, a.revision = max(a.acked, m.Number), max(a.revision, m.Revision)
 	for _, s := range a.open[m.Number] {
 		a.has[s.id] = s
+		if a.flying[s.id].stamp == s {
+			delete(a.flying, s.id)
+		}
 	}
 	delete(a.open, m.Number)
 	// Pushes before this one that hold nothing newer need no answer any more.
@@ -184,43 +207,3 @@
 		}
 	}
 }
-
-// Lag tells who among the counters hasn't acknowledged a revision, and for
-// how long a counter has said nothing at all.
-func (r *Rounds) Lag(counters []rollcall.Member, rev ticket.Revision) []ticket.Daemon {
-	var out []ticket.Daemon
-	for _, c := range counters {
-		if a := r.list[c.ID]; a == nil || a.start != c.Start || a.revision < rev {
-			out = append(out, c.ID)
-		}
-	}
-	return out
-}
-
-// Reached tells whether every counter has acknowledged that a target leaves.
-func (r *Rounds) Reached(counters []rollcall.Member, t yard.Target) bool {
-	for _, c := range counters {
-		a := r.list[c.ID]
-		if a == nil || a.start != c.Start {
-			return false
-		}
-		if s := a.has[t.Instance]; s.incarnation < t.Incarnation || s.incarnation == t.Incarnation && s.sequence < t.Sequence {
-			return false
-		}
-	}
-	return true
-}
-
-// Fresh tells whether a counter has acknowledged anything of late.
-func (r *Rounds) Fresh(now ticket.Tick, c rollcall.Member, within time.Duration) bool {
-	a := r.list[c.ID]
-	return a != nil && a.start == c.Start && a.acked > 0 && now.Since(a.ackedAt) <= within
-}
-
-// Has gives the revision that a counter acknowledged.
-func (r *Rounds) Has(c rollcall.Member) ticket.Revision {
-	if a := r.list[c.ID]; a != nil && a.start == c.Start {
-		return a.revision
-	}
-	return 0
-}
--- a/internal/yard/keeper.go
+++ b/internal/yard/keeper.go
@@ -1,6 +1,7 @@
 package yard
 
 import (
+	"encoding/binary"
 	"hash/fnv"
 
 	"dunlinwell/internal/ticket"
@@ -32,7 +33,13 @@
 }
 
 // Sum sums up who is there, so that two copies that differ find it out.
-func (y *Yard) Sum() uint64 {
+func (y *Yard) Sum() uint64 { return y.sum(false) }
+
+// Exact sums up, besides, what each last said that was new: two copies with the
+// same one go by the same words, on cold times too.
+func (y *Yard) Exact() uint64 { return y.sum(true) }
+
+func (y *Yard) sum(exact bool) uint64 {
 	sum := uint64(0)
 	for id, e := range y.list {
 		if e.Gone {
@@ -45,6 +52,11 @@
 			h.Write([]byte{1})
 		}
 		h.Write([]byte(e.Target.Keeper))
+		if exact {
+			var raw [8]byte
+			binary.BigEndian.PutUint64(raw[:], uint64(e.Target.Sequence))
+			h.Write(raw[:])
+		}
 		sum ^= h.Sum64()
 	}
 	return sum
