Who is near a cell's targets is worked out once a cell, not once a target

Cause: the hollow fleets' profile has 73 % of the counters' CPU time in restocking, where every target was weighed against every counter to find who stands near it. That is the same for all targets of a cell.

Ruled out: the lots themselves, which are drawn among the few that are near. Seats and daybooks are unchanged.

--- a/internal/counter/control.go
+++ b/internal/counter/control.go
@@ -51,6 +51,8 @@
 	// thaws are until when targets count as cold whatever they said: they were
 	// out of use and may have gone cold since.
 	thaws map[ticket.Name]ticket.Tick
+	// ranks are worked out anew for each restocking, by cell.
+	ranks map[ticket.Name]rank
 }
 
 // stamp tells whether anything that desks go by has changed.
--- a/internal/counter/footing.go
+++ b/internal/counter/footing.go
@@ -93,6 +93,7 @@
 	c.stocked, c.leased = s, c.sure()
 	ended := c.ended()
 	by := map[ticket.Name][]desk.Offer{}
+	clear(c.ranks)
 	for _, t := range c.yard.All(now) {
 		o := c.offer(now, t, seats)
 		// In a large fleet most targets are others' to use.
--- a/internal/counter/places.go
+++ b/internal/counter/places.go
@@ -41,36 +41,57 @@
 	return o
 }
 
+// rank is how near this counter is to the targets of a cell, as places go, and
+// the counters that are as near.
+type rank struct {
+	class int
+	peers []rollcall.Member
+}
+
 // class tells how near this counter is to a target, as places go, and names the
 // counters of that class: 0 has the target's places, 1 stands in its region
 // and 2 elsewhere, with as many places again for each of the two. Where a cell
-// has no counter the next class takes its part.
+// has no counter the next class takes its part. It is the same for all targets
+// of a cell, so it is worked out once a cell and not once a target.
 func (c *Control) class(t yard.Target, seats []rollcall.Member) (int, []rollcall.Member) {
-	var by [3][]rollcall.Member
-	for _, m := range seats {
-		n := 2
-		switch d := c.view.Distance(m.Cell, t.Cell); {
+	if r, ok := c.ranks[t.Cell]; ok {
+		return r.class, r.peers
+	}
+	r := c.rank(t.Cell, seats)
+	if c.ranks == nil {
+		c.ranks = map[ticket.Name]rank{}
+	}
+	c.ranks[t.Cell] = r
+	return r.class, r.peers
+}
+
+func (c *Control) rank(cell ticket.Name, seats []rollcall.Member) rank {
+	near := func(n ticket.Name) int {
+		switch d := c.view.Distance(n, cell); {
 		case d == 0:
-			n = 0
+			return 0
 		case d <= 1:
-			n = 1
+			return 1
 		}
-		by[n] = append(by[n], m)
+		return 2
 	}
-	own := 2
-	switch d := c.view.Distance(c.Self.Cell, t.Cell); {
-	case d == 0:
-		own = 0
-	case d <= 1:
-		own = 1
+	var by [3][]rollcall.Member
+	at := map[ticket.Name]int{}
+	for _, m := range seats {
+		n, ok := at[m.Cell]
+		if !ok {
+			n = near(m.Cell)
+			at[m.Cell] = n
+		}
+		by[n] = append(by[n], m)
 	}
-	class := own
+	own := near(c.Self.Cell)
 	for n := range own {
 		if len(by[n]) > 0 {
-			return class, by[own]
+			return rank{own, by[own]}
 		}
 	}
-	return 0, by[own]
+	return rank{0, by[own]}
 }
 
 // chill bounds what a cold target gets: its rate is shared by those who have
