--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"regexp"
-	"strconv"
 	"strings"
 
 	"github.com/tidwall/gjson"
@@ -59,7 +58,7 @@
 		{path: "homes", kind: gjson.JSON},
 		{path: "tier", kind: gjson.Number, low: 0, high: 9},
 		{path: "repeatable", kind: gjson.True, required: true},
-		{path: "limit_ms", kind: gjson.Number, low: 10, high: 120000},
+		{path: "limit_ms", kind: gjson.Number, low: 10, high: 600000},
 		{path: "max_body", kind: gjson.Number, low: 0, high: 4 << 20},
 	},
 	"cell": {
@@ -82,27 +81,6 @@
 // whole are the fields that count things, so no fraction will do.
 var whole = map[string]bool{"tier": true, "capacity": true, "warm_ms": true, "allowance": true, "limit_ms": true, "max_body": true, "circuits": true, "goal_ms": true, "attempts": true, "max_header": true, "header_ms": true, "idle_ms": true}
 
-// twice finds keys that stand twice in an object: two readers could each take
-// another of them for the truth.
-func twice(path string, v gjson.Result, bad func(path, why string)) {
-	seen, n := map[string]bool{}, -1
-	v.ForEach(func(k, in gjson.Result) bool {
-		n++
-		at := join2(path, strconv.Itoa(n))
-		if v.IsObject() {
-			at = join2(path, k.String())
-			if seen[k.String()] {
-				bad(at, "stands twice")
-			}
-			seen[k.String()] = true
-		}
-		if in.IsObject() || in.IsArray() {
-			twice(at, in, bad)
-		}
-		return true
-	})
-}
-
 func join2(a, b string) string {
 	if a == "" {
 		return b
@@ -226,7 +204,7 @@
 		faults = append(faults, p.unknownServices(n, p.Routes[n].Body)...)
 		// Those merged from outside are their caller's own business; of two with
 		// one place the first by name holds.
-		if p.Routes[n].Source != nil {
+		if p.Routes[n].merged() {
 			continue
 		}
 		at := doc.Get("host").Str + strings.TrimRight(doc.Get("prefix").Str, "/")
--- a/internal/catalogue/policy.go
+++ b/internal/catalogue/policy.go
@@ -22,6 +22,8 @@
 	// Source is the item in its caller's own form, where that isn't ours; it is
 	// kept as it was sent, to be read back.
 	Source json.RawMessage `json:"source,omitempty"`
+	// Merged: it is its caller's business, though it may have kept no source.
+	Merged bool `json:"merged,omitempty"`
 	// At is the policy's revision that last changed the item.
 	At ticket.Revision `json:"at,omitempty"`
 }
@@ -32,6 +34,9 @@
 	At      ticket.Revision `json:"at"`
 }
 
+// merged tells whether an item came by merging.
+func (it Item) merged() bool { return it.Merged || it.Source != nil }
+
 // Policy is all items, and the results of recent changes by change id.
 type Policy struct {
 	Revision ticket.Revision      `json:"revision"`
@@ -70,12 +75,14 @@
 // Cell is a zone: its region, its set points in ms of CPU a second, and
 // whether it is emptied.
 type Cell struct {
-	Name       ticket.Name `json:"-"`
-	Region     string      `json:"region"`
-	Target     float64     `json:"target"`
-	Acceptable float64     `json:"acceptable"`
-	Maximum    float64     `json:"maximum"`
-	Emptied    bool        `json:"emptied"`
+	Name   ticket.Name `json:"-"`
+	Region string      `json:"region"`
+	Target float64     `json:"target"`
+	// Unnamed: no operator named a target level.
+	Unnamed    bool    `json:"-"`
+	Acceptable float64 `json:"acceptable"`
+	Maximum    float64 `json:"maximum"`
+	Emptied    bool    `json:"emptied"`
 	// Shut: nothing more is sent to the cell's targets, while its counters go on
 	// serving from the targets of other cells.
 	Shut      bool                        `json:"shut"`
--- a/internal/counter/carry.go
+++ b/internal/counter/carry.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,6 +27,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Held is the room that the body has, and the answer will.
+	Held   *Held
 	Remote string
 	// ID is what the target is to echo.
 	ID string
@@ -77,16 +80,23 @@
 	_ = line.SetDeadline(until)
 	head := d.trade.Outgoing(c, f, f.Due.Since(hoist.Now()))
 	n, err := line.Write(pack(c, f, head))
+	if err == nil && len(c.Body) > mostPacked {
+		_, err = line.Write(c.Body)
+	}
 	if n > 0 {
 		back.How = desk.Maybe
 	}
 	if err != nil {
+		d.circuits.dead(line)
 		line.Close()
 		back.Why = "sending: " + err.Error()
 		return back
 	}
 	v, err := d.sealed(line, c, f)
 	if err != nil {
+		if !line.heard {
+			d.circuits.dead(line)
+		}
 		line.Close()
 		back.Why = err.Error()
 		return back
@@ -101,11 +111,15 @@
 	return back
 }
 
+// mostPacked is the largest body that leaves with its head; larger ones aren't
+// copied, and follow it.
+const mostPacked = 16 << 10
+
 // pack writes a request as it goes out. Method, path and body are the
 // consumer's own, to the byte: nothing is cleaned or encoded anew.
 func pack(c *Cargo, f desk.Ferry, head http.Header) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(c.Body))
+	b.Grow(1024 + min(len(c.Body), mostPacked))
 	host := c.Host
 	if host == "" {
 		host = string(f.Target.Address)
@@ -120,23 +134,31 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(c.Body)
+	if len(c.Body) <= mostPacked {
+		b.Write(c.Body)
+	}
 	return b.Bytes()
 }
 
 // mostOthers bounds the answers to other requests that are read past.
 const mostOthers = 2
 
+// mostHead bounds the head of an answer.
+const mostHead = 1 << 20
+
 // sealed reads an answer whole and lets the trade judge it. Only then may a
 // byte of it go on.
 func (d *Daemon) sealed(line *circuit, c *Cargo, f desk.Ferry) (Verdict, error) {
 	peer := string(f.Target.Address)
 	for range mostOthers + 1 {
+		line.bound.N = mostHead
 		res, err := http.ReadResponse(line.read, &http.Request{Method: c.Method})
 		if err != nil {
 			return Verdict{}, problem.At(err, "read response", peer)
 		}
-		body, err := d.body(res, peer)
+		// The body has a limit of its own.
+		line.bound.N = math.MaxInt64
+		body, err := d.body(res, peer, c.Held)
 		if err != nil {
 			return Verdict{}, err
 		}
@@ -157,13 +179,13 @@
 }
 
 // body reads an answer's body, whole and within the limit.
-func (d *Daemon) body(res *http.Response, peer string) ([]byte, error) {
+func (d *Daemon) body(res *http.Response, peer string, held *Held) ([]byte, error) {
 	defer res.Body.Close()
 	limit := d.Params.MaxResponse
 	if res.StatusCode < 200 {
 		return nil, problem.New("check response", peer, "answer of status %d", res.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
+	body, err := io.ReadAll(counted{io.LimitReader(res.Body, int64(limit)+1), held})
 	if err != nil {
 		return nil, problem.At(err, "read body", peer)
 	}
--- a/internal/desk/spot.go
+++ b/internal/desk/spot.go
@@ -23,6 +23,7 @@
 	// full is how full the target last said it is, beyond its slots, and when.
 	load   float64
 	loadAt ticket.Tick
+	outlier
 }
 
 // take notes a request that goes there.
@@ -50,12 +51,16 @@
 func (s *spot) came(now ticket.Tick, e Back) {
 	switch e.How {
 	case NotSent, Maybe:
-		s.rest = now.Add(restFor)
+		s.rest = max(s.rest, now.Add(restFor))
 	case NotRun:
 		s.rest = now.Add(restFull)
 	case Foreign:
 		s.rest = now.Add(restForeign)
 	}
+	if e.How != NotRun && e.How != Foreign {
+		bad := e.How != Sealed || e.Response.Status >= 500
+		s.rest = max(s.rest, s.outlier.seen(now, bad))
+	}
 	if e.Told && e.Slots > 0 {
 		s.load, s.loadAt = float64(e.Running+e.Waiting)/float64(e.Slots), now
 	}
@@ -158,7 +163,7 @@
 // there the less occupied of two drawn at random.
 func (d *Desk) pick(now ticket.Tick, j *job) *spot {
 	best, rested := d.best[:0], false
-	fresh := len(j.avoid) == 0 || slices.ContainsFunc(d.list, func(s *spot) bool { return d.fit(s) && !j.avoid[s.Instance] })
+	fresh := len(j.avoid) == 0 || slices.ContainsFunc(d.list, func(s *spot) bool { return d.fit(s) && j.home(s) && !j.avoid[s.Instance] })
 	reach := d.reach(now, j)
 	for _, s := range d.list {
 		// Where all were tried, the same one may be tried again.
--- a/internal/desk/steps.go
+++ b/internal/desk/steps.go
@@ -170,6 +170,12 @@
 	j.turn++
 	j.placed = now
 	d.Tally.Ferried++
+	switch {
+	case s.Distance > 1:
+		d.Tally.Far++
+	case s.Distance > 0:
+		d.Tally.Region++
+	}
 	d.Do(Ferry{ID: j.ID, Turn: j.turn, Target: s.Target, Due: j.Due, By: min(j.Due, d.lease), Fresh: j.marked(), Careful: j.Single})
 }
 
@@ -180,6 +186,10 @@
 		return
 	}
 	s := d.spots[j.target]
+	// A failure is sealed too: where nobody may try again it is the answer.
+	if e.How == Failed && !j.Repeatable {
+		e.How = Sealed
+	}
 	if e.How == Sealed {
 		d.mean += (now.Since(j.placed) - d.mean) / 8
 	}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -31,6 +31,8 @@
 	Thrifty bool
 	// Always: the directory names somebody wherever it knows anybody.
 	Always bool
+	// Derive: set points that nobody named follow from what targets state.
+	Derive bool
 }
 
 func (p *Params) fill() {
@@ -90,6 +92,10 @@
 	f.Asker = ledger.NewAsker(p.Self.Start, &f.Out)
 	f.Asker.Order = f.stores
 	f.Rounds = rounds.New(p.Self.Start, &f.Out)
+	if p.Derive {
+		// Two reports and more, of a plan's period each.
+		f.Books.Span = 2*p.PlanEvery + 100*time.Millisecond
+	}
 	if p.Thrifty {
 		f.Rounds.WordEvery = time.Second
 	}
@@ -150,7 +156,7 @@
 	f.Roll.Clock(now)
 	f.Asker.Clock(now)
 	f.keepPeers(now)
-	silent := f.Yard.Clock(now)
+	silent := f.silent(now)
 	if f.params.Thrifty {
 		f.tellForemen(silent)
 	}
@@ -158,7 +164,7 @@
 		f.Say("warn", "target silent", "target", string(t.Instance), "service", string(t.Service), "address", string(t.Address))
 	}
 	f.Yard.Forget(now, time.Hour)
-	if now >= f.poll && !f.reading {
+	if now >= f.poll && !f.reading && f.answerable() {
 		f.readPolicy(now)
 	}
 	if now >= f.share {
@@ -176,6 +182,10 @@
 func (f *Foreman) readPolicy(now ticket.Tick) {
 	f.reading = true
 	f.poll = now.Add(pollEvery)
+	if f.params.Thrifty {
+		// News of a change comes by itself; what this renews is the agreement's age.
+		f.poll = now.Add(2 * pollEvery)
+	}
 	began := now
 	f.Asker.Reread(now, catalogue.Key, f.whole, f.sum, 2*time.Second, func(_ ticket.Tick, s ledger.State, out []byte) {
 		f.reading = false
@@ -222,14 +232,6 @@
 	}
 }
 
-// age tells how old the last agreement on the policy is.
-func (f *Foreman) age(now ticket.Tick) time.Duration {
-	if f.agreed == 0 {
-		return time.Hour
-	}
-	return now.Since(f.agreed)
-}
-
 // ready gives the counters that the directory may name: those in step, and
 // known to be by their own acknowledgements.
 func (f *Foreman) ready(now ticket.Tick) []rollcall.Member {
--- a/internal/yard/yard.go
+++ b/internal/yard/yard.go
@@ -134,27 +134,6 @@
 	return changed
 }
 
-// last gives the entry as of its target's last word.
-func (e *entry) last() Target {
-	t := e.Target
-	t.Sequence = max(t.Sequence, e.newest)
-	return t
-}
-
-// coldSlack is how far two words on the same cold time may differ.
-const coldSlack = 300 * time.Millisecond
-
-// alike tells whether a later word says nothing new of its target.
-func (e *entry) alike(now ticket.Tick, t Target) bool {
-	u := e.Target
-	cold := now.Add(time.Duration(t.Cold) * time.Millisecond)
-	if t.Cold > 0 && cold.Since(e.cold) > coldSlack {
-		return false
-	}
-	u.Sequence, u.Age, u.Cold, u.Occupancy = t.Sequence, t.Age, t.Cold, t.Occupancy
-	return u == t
-}
-
 // displace ends whoever had the address before its newer owner.
 func (y *Yard) displace(t Target) []Target {
 	var out []Target
@@ -173,14 +152,19 @@
 func (y *Yard) Clock(now ticket.Tick) []Target {
 	// A gap in our own clock events is our silence, not the targets'.
 	if y.last != 0 && now.Since(y.last) > time.Second {
-		for _, e := range y.list {
-			e.heard = now
-		}
+		y.Excuse(now)
 	}
 	y.last = now
 	return y.Lapse(now)
 }
 
+// Excuse counts silence from now on: until now nothing could be heard here.
+func (y *Yard) Excuse(now ticket.Tick) {
+	for _, e := range y.list {
+		e.heard = now
+	}
+}
+
 // Lapse counts the silent without minding a gap of our own. For a counter, which
 // hears all targets anew in the first push after it woke, that is the safer way.
 func (y *Yard) Lapse(now ticket.Tick) []Target {
