Sight: a client's departure is an event of the dispatcher, and counted

Cause: nothing that we write tells whether a proxy notices that a client has left, so the hypotheses of the incident can't be told apart. The request's context is handed to Dispatch, and its end becomes the event ClientDisconnected; the dispatcher only counts it (requests_total, what=client_left; the log event requests_forwarded). The number of queued requests is a metric as well. No decision changes. Measured: dispatch, proxy and compat tests pass.

--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -65,6 +65,8 @@
 type Counters struct {
 	// Replayed counts requests that got the stored response of an earlier attempt.
 	Arrived, Rejected, Unknown, Answered, Forwarded, Retried, Replayed uint64
+	// ClientDisconnects counts requests whose client went away before their response.
+	ClientDisconnects uint64
 	// CrossZone and CrossRegion count those of Forwarded that went to another zone of
 	// the proxy's region, and to another region.
 	CrossZone, CrossRegion uint64
@@ -93,6 +95,8 @@
 		d.onIdempotencyReply(now, e)
 	case AttemptFinished:
 		d.onAttemptFinished(now, e)
+	case ClientDisconnected:
+		d.onClientDisconnected(e.ID)
 	case ServiceState:
 		d.onServiceState(now, e)
 	case LeaseUpdated:
--- a/internal/dataplane/dispatch/job.go
+++ b/internal/dataplane/dispatch/job.go
@@ -78,6 +78,8 @@
 	rejectReason string
 	// goalUnreachable is set if the latency goal was out of reach at arrival.
 	goalUnreachable bool
+	// clientDisconnected is set once the client has gone.
+	clientDisconnected bool
 	// response is what is stored under the idempotency key.
 	response idempotency.Response
 }
--- a/internal/dataplane/dispatch/messages.go
+++ b/internal/dataplane/dispatch/messages.go
@@ -124,6 +124,10 @@
 		Running, Waiting, Slots int64
 	}
 
+	// ClientDisconnected reports that a request's client has gone, so that nobody waits
+	// for the response any more. A request that has its response is not affected.
+	ClientDisconnected struct{ ID ids.RequestID }
+
 	// LeaseUpdated replaces the time until which requests may be forwarded by the
 	// service state at hand.
 	LeaseUpdated struct{ ExpiresAt ids.Time }
--- a/internal/dataplane/proxy/client_handler.go
+++ b/internal/dataplane/proxy/client_handler.go
@@ -80,7 +80,7 @@
 		return
 	}
 	readTime := time.Since(begun)
-	response, forwardTime := d.Dispatch(request)
+	response, forwardTime := d.Dispatch(r.Context(), request)
 	dispatched := time.Now()
 	writeResponse(w, r, response)
 	d.meter.recordRequest(route.Name, route.Service, readTime+time.Since(dispatched), time.Since(begun)-forwardTime)
--- a/internal/dataplane/proxy/dispatchers.go
+++ b/internal/dataplane/proxy/dispatchers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -37,16 +38,20 @@
 const queuedTickDelay = 15 * time.Millisecond
 
 // Dispatch gives a request to its service's dispatcher and returns the response, and the
-// time that forwarding took. A client that hangs up changes nothing: the request goes on,
-// its idempotency key is not freed, and the response is written whether or not anybody
-// reads it.
-func (d *Daemon) Dispatch(request *ClientRequest) (dispatch.Response, time.Duration) {
+// time that forwarding took. The context ends when the client has gone; the dispatcher is
+// told so, and decides what becomes of the request. There is a response all the same.
+func (d *Daemon) Dispatch(client context.Context, request *ClientRequest) (dispatch.Response, time.Duration) {
 	pending := &pendingRequest{ClientRequest: request, response: make(chan dispatch.Response, 1)}
 	s := d.dispatcherOf(request.Job.Service)
 	s.mu.Lock()
 	s.requests[request.Job.ID] = pending
 	s.mu.Unlock()
 	d.stepDispatcher(request.Job.Service, dispatch.RequestArrived{Job: request.Job})
+	// Only now, as the dispatcher ignores events of requests that it doesn't have.
+	stop := context.AfterFunc(client, func() {
+		d.stepDispatcher(request.Job.Service, dispatch.ClientDisconnected{ID: request.Job.ID})
+	})
+	defer stop()
 	return <-pending.response, pending.forwardTime
 }
 
@@ -145,11 +150,12 @@
 	}
 }
 
-// counters returns the dispatcher's counters, and how many requests it has.
-func (s *serviceDispatcher) counters() (dispatch.Counters, int) {
+// counters returns the dispatcher's counters, how many requests it has, and how many of
+// these wait in its queue.
+func (s *serviceDispatcher) counters() (counters dispatch.Counters, jobs, queued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.Counters, s.dispatcher.JobCount()
+	return s.dispatcher.Counters, s.dispatcher.JobCount(), s.dispatcher.QueueLength()
 }
 
 // takeFailureReasons returns why requests got no response since the last call.
--- a/internal/dataplane/proxy/pages.go
+++ b/internal/dataplane/proxy/pages.go
@@ -57,10 +57,11 @@
 
 // metrics returns the metrics of one service.
 func (s *serviceDispatcher) metrics(service ids.Name) []daemon.Metric {
-	counters, jobs := s.counters()
-	list := []daemon.Metric{{
-		Name: "occupancy", Labels: []string{"service"}, Values: []string{string(service)}, Value: float64(jobs),
-	}}
+	counters, jobs, queued := s.counters()
+	list := []daemon.Metric{
+		{Name: "occupancy", Labels: []string{"service"}, Values: []string{string(service)}, Value: float64(jobs)},
+		{Name: "queue_length", Labels: []string{"service"}, Values: []string{string(service)}, Value: float64(queued)},
+	}
 	for what, count := range map[string]uint64{
 		"arrived":           counters.Arrived,
 		"declined":          counters.Rejected,
@@ -71,6 +72,7 @@
 		"ferried_far":       counters.CrossRegion,
 		"retried":           counters.Retried,
 		"repeats":           counters.Replayed,
+		"client_left":       counters.ClientDisconnects,
 	} {
 		list = append(list, daemon.Metric{
 			Name: "requests_total", Labels: []string{"service", "what"}, Values: []string{string(service), what},
--- a/internal/dataplane/proxy/run.go
+++ b/internal/dataplane/proxy/run.go
@@ -129,11 +129,12 @@
 // logTraffic logs, for each service, where its requests were forwarded to since the start.
 func (d *Daemon) logTraffic() {
 	for _, service := range d.serviceNames() {
-		counters, _ := d.dispatcherOf(service).counters()
+		counters, _, _ := d.dispatcherOf(service).counters()
 		sameZone := counters.Forwarded - counters.CrossZone - counters.CrossRegion
 		d.log.Event(event.LevelInfo, logRequestsForwarded, "service", string(service),
 			"same_zone", formatUint(sameZone), "same_region", formatUint(counters.CrossZone),
-			"cross_region", formatUint(counters.CrossRegion), "retried", formatUint(counters.Retried))
+			"cross_region", formatUint(counters.CrossRegion), "retried", formatUint(counters.Retried),
+			"client_left", formatUint(counters.ClientDisconnects))
 	}
 }
 
