Mend: a request ends with its client, and what was sent on is ended at the target

Cause: a client's departure reached no one. net/http ends the context of a request whose client closes, but no handler passed it on, the dispatcher knew no such event, and attempts at targets were bound to the deadline alone (dialled under context.Background()). Class: work that outlives its caller, because its cancellation ends at a layer. Ruled out: late noticing (all proxies alike, draining or not) and targets that run on (they drop the work once the connection closes). Change: ClientContext tells a departure from a half-close and from a read that ended here; the dispatcher gives the job up wherever it is (client_disconnect.go): queued jobs are dropped, no attempt or retry follows, a claim under way is released, and CancelForward closes the connection of an attempt that may be repeated, or stops one that wasn't sent. An order that was sent runs on. A canceled attempt counts neither as a failure nor as a response of its target, and teaches the pool nothing. The native interface keeps its half-close (documented); there a reset is a departure.

--- a/internal/app/api/http.go
+++ b/internal/app/api/http.go
@@ -78,6 +78,20 @@
 	_ = json.NewEncoder(rw).Encode(response.Body)
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// WithConn adds a connection to the context of its requests: a ConnContext of http.Server.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// ConnOf gives the connection that a request came on; nil if its server has no WithConn.
+func ConnOf(r *http.Request) net.Conn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // Listen opens an address for HTTP.
 func Listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -87,7 +101,10 @@
 // Serve serves a handler until the context ends. Calls under way may then take for the
 // grace period to finish.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler, grace time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{
+		Handler: handler, ConnContext: WithConn, ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/internal/dataplane/dispatch/admission.go
+++ b/internal/dataplane/dispatch/admission.go
@@ -23,6 +23,8 @@
 // before each step of a job, as all of it may change while the job waits.
 func (d *Dispatcher) blockedReason(now ids.Time, j *job) string {
 	switch {
+	case j.clientDisconnected:
+		return reasonClientDisconnected
 	case d.isFrozenOrStale(now):
 		return reasonNotCurrent
 	case now >= d.leaseExpiresAt:
--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -96,7 +96,7 @@
 	case AttemptFinished:
 		d.onAttemptFinished(now, e)
 	case ClientDisconnected:
-		d.onClientDisconnected(e.ID)
+		d.onClientDisconnected(now, e.ID)
 	case ServiceState:
 		d.onServiceState(now, e)
 	case LeaseUpdated:
--- a/internal/dataplane/dispatch/doc.go
+++ b/internal/dataplane/dispatch/doc.go
@@ -17,6 +17,9 @@
 // (response.go), stores the outcome or tries again (retry.go). blockedReason is asked at
 // admission, when a slot is given, and once more before the Forward.
 //
+// A job whose client goes away (client_disconnect.go) is given up wherever it is, unless a
+// target may be at work on it and it may not be repeated.
+//
 // # Slow start, cooldown, ejection
 //
 // Slow start has two forms, of which one holds for a service. In general a restarted target's
@@ -36,6 +39,8 @@
 //   - A request that isn't Repeatable is forwarded only under a claim of its
 //     idempotency key or, with AtMostOnce set, to a next target only while no
 //     earlier target can have begun it.
+//   - Nothing of a request is forwarded after its client has gone, and that counts neither
+//     as a failure nor as a response of any target.
 //   - Nothing is forwarded while the service state is out of date, after the lease on
 //     it has expired, or after a freeze of the process.
 //   - Over any span of time, retries are at most retryRatio of the first requests
--- a/internal/dataplane/dispatch/endpoint.go
+++ b/internal/dataplane/dispatch/endpoint.go
@@ -20,6 +20,9 @@
 	// lastResponseAt is when a request last came back from the target, or, if none was in
 	// flight before, when the oldest one in flight left.
 	lastResponseAt ids.Time
+	// silentFor is for how long the target hadn't responded when its last request was
+	// canceled; 0 once it has responded.
+	silentFor time.Duration
 	// slowStartTokens is a token bucket of one request at most that bounds the rate
 	// until SlowStartUntil.
 	slowStartTokens  float64
@@ -34,7 +37,7 @@
 // startRequest counts a request that takes a slot.
 func (e *endpoint) startRequest(now ids.Time) {
 	if e.inFlight == 0 {
-		e.lastResponseAt = now
+		e.lastResponseAt = now.Add(-e.silentFor)
 	}
 	e.inFlight++
 	if now < e.SlowStartUntil {
@@ -42,6 +45,19 @@
 	}
 }
 
+// endRequest counts a request off that came back from the target.
+func (e *endpoint) endRequest(now ids.Time) {
+	e.inFlight--
+	e.lastResponseAt, e.silentFor = now, 0
+}
+
+// cancelRequest counts a request off that was canceled. The target hasn't responded by that:
+// a silent target whose clients all leave soon must not look like one that answers.
+func (e *endpoint) cancelRequest(now ids.Time) {
+	e.inFlight--
+	e.silentFor = now.Sub(e.lastResponseAt)
+}
+
 const (
 	// failureCooldown follows a failed connection or a lost response.
 	failureCooldown = time.Second
--- a/internal/dataplane/dispatch/forward.go
+++ b/internal/dataplane/dispatch/forward.go
@@ -86,11 +86,15 @@
 	if result.Result == Complete {
 		d.meanResponseTime += (now.Sub(j.forwardedAt) - d.meanResponseTime) / responseTimeSmoothing
 	}
-	if e := d.endpoints[j.target]; e != nil {
-		e.recordResult(now, result)
-	}
 	j.triedTargets[j.target] = true
-	d.releaseSlot(now, j)
+	if j.isCanceled(result.Result) {
+		d.releaseCanceledSlot(now, j)
+	} else {
+		if e := d.endpoints[j.target]; e != nil {
+			e.recordResult(now, result)
+		}
+		d.releaseSlot(now, j)
+	}
 	if result.Result == NotSent && j.budgetEarned {
 		d.retryBudget.cancelDeposit()
 		j.budgetEarned, j.budgetCounted = false, false
--- a/internal/dataplane/dispatch/job.go
+++ b/internal/dataplane/dispatch/job.go
@@ -78,8 +78,10 @@
 	rejectReason string
 	// goalUnreachable is set if the latency goal was out of reach at arrival.
 	goalUnreachable bool
-	// clientDisconnected is set once the client has gone.
+	// clientDisconnected is set once the client has gone, and cancelRequested if its
+	// attempt was canceled for that.
 	clientDisconnected bool
+	cancelRequested    bool
 	// response is what is stored under the idempotency key.
 	response idempotency.Response
 }
--- a/internal/dataplane/dispatch/messages.go
+++ b/internal/dataplane/dispatch/messages.go
@@ -161,6 +161,16 @@
 		NewConnection bool
 	}
 
+	// CancelForward ends a request's attempt at a target, as its client has gone. Its
+	// AttemptFinished still follows, with whatever result it has by then.
+	CancelForward struct {
+		ID       ids.RequestID
+		Sequence uint32
+		// EvenIfSent ends an attempt of which bytes have left as well, by closing its
+		// connection. Without it only an attempt that wasn't sent yet ends, as NotSent.
+		EvenIfSent bool
+	}
+
 	// Response is the one response to a client's request.
 	Response struct {
 		ID     ids.RequestID
--- a/internal/dataplane/dispatch/queue.go
+++ b/internal/dataplane/dispatch/queue.go
@@ -97,9 +97,18 @@
 
 // releaseSlot returns a job's slot, if it holds one.
 func (d *Dispatcher) releaseSlot(now ids.Time, j *job) {
+	d.endSlot(j, func(e *endpoint) { e.endRequest(now) })
+}
+
+// releaseCanceledSlot returns the slot of a job whose attempt was canceled.
+func (d *Dispatcher) releaseCanceledSlot(now ids.Time, j *job) {
+	d.endSlot(j, func(e *endpoint) { e.cancelRequest(now) })
+}
+
+// endSlot has a job's endpoint, if it has one, count its request off.
+func (d *Dispatcher) endSlot(j *job, countOff func(*endpoint)) {
 	if e := d.endpoints[j.target]; e != nil && j.target != "" {
-		e.inFlight--
-		e.lastResponseAt = now
+		countOff(e)
 		if e.removed && e.inFlight <= 0 {
 			delete(d.endpoints, j.target)
 		}
--- a/internal/dataplane/dispatch/reasons.go
+++ b/internal/dataplane/dispatch/reasons.go
@@ -32,6 +32,9 @@
 	// reasonNotExecuted: targets stated not to have run the request, and it may not be
 	// sent to another.
 	reasonNotExecuted = "targets turned it away"
+	// reasonClientDisconnected: the client has gone, and the request wasn't sent. It is
+	// also the reason of a request whose attempt was ended for that, and may have run.
+	reasonClientDisconnected = "client disconnected"
 	// reasonSuperseded: a later attempt was rejected, and has blocked this one.
 	reasonSuperseded = "given up in favour of a later attempt"
 )
--- a/internal/dataplane/dispatch/retry.go
+++ b/internal/dataplane/dispatch/retry.go
@@ -23,7 +23,7 @@
 // attempts, its time left and the retry budget allow it. The retry is then paid for.
 func (d *Dispatcher) takeRetry(now ids.Time, j *job) bool {
 	j.failedAttempts++
-	if d.attemptsExhausted(j) || now.Add(d.meanResponseTime) >= j.Deadline || !d.retryBudget.withdraw() {
+	if j.clientDisconnected || d.attemptsExhausted(j) || now.Add(d.meanResponseTime) >= j.Deadline || !d.retryBudget.withdraw() {
 		return false
 	}
 	d.Counters.Retried++
@@ -63,6 +63,8 @@
 	case result.Result == TargetFailed:
 		// The target's failure is still its response.
 		d.respondAnswered(now, j, result.Response)
+	case j.clientDisconnected:
+		d.respondUnknown(now, j, unknownStatus(now, j), reasonClientDisconnected)
 	default:
 		d.respondUnknown(now, j, unknownStatus(now, j), reasonRetriesEnded+": "+result.Reason)
 	}
--- a/internal/dataplane/dispatch/script_commands_test.go
+++ b/internal/dataplane/dispatch/script_commands_test.go
@@ -47,6 +47,11 @@
 			line += " recent-only"
 		}
 		return line
+	case CancelForward:
+		if c.EvenIfSent {
+			return fmt.Sprintf("cancel %d sent", c.ID)
+		}
+		return fmt.Sprintf("cancel %d unsent", c.ID)
 	case Response:
 		return fmt.Sprintf("respond %d %s %d %q retry=%s %s", c.ID, responseClasses[c.Class], c.Status, c.Reason, formatRetryAfter(c.RetryAfter), c.TargetResponse.Body)
 	}
--- a/internal/dataplane/dispatch/script_test.go
+++ b/internal/dataplane/dispatch/script_test.go
@@ -40,6 +40,8 @@
 		return r.parseReply(t, id, words)
 	case "finished":
 		return r.parseFinished(t, id, words)
+	case "client-left":
+		return ClientDisconnected{ID: id}
 	}
 	t.Fatalf("no event %q", name)
 	return nil
--- a/internal/dataplane/proxy/client_conn.go
+++ b/internal/dataplane/proxy/client_conn.go
@@ -23,12 +23,15 @@
 	closing, readExpired bool
 	// readDeadline is the one that the server has set.
 	readDeadline time.Time
+	// lastReadEnd is how the last read ended.
+	lastReadEnd readEnd
 }
 
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastReadEnd = readEndOf(err)
 	switch {
 	case n > 0 && c.readExpired:
 		// The request came before the read was ended: it is read whole and answered.
@@ -44,6 +47,13 @@
 	return n, err
 }
 
+// readEnd returns how the last read ended.
+func (c *clientConn) readEnd() readEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastReadEnd
+}
+
 // SetReadDeadline sets the server's deadline, unless the read is being ended.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/dataplane/proxy/client_departure_test.go
@@ -0,0 +1,174 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/app/api"
+	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/controlplane/targets"
+	"dunlinwell/internal/dataplane/dispatch"
+	"dunlinwell/internal/transport/process"
+)
+
+// TestClientContext ends the reading of a client's connection in different ways while its
+// request waits. net/http ends the request's own context each time.
+func TestClientContext(t *testing.T) {
+	closeConn := func(c *net.TCPConn) { _ = c.Close() }
+	halfClose := func(c *net.TCPConn) { _ = c.CloseWrite() }
+	reset := func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }
+	for _, c := range []struct {
+		name string
+		rule HalfCloseRule
+		end  func(*net.TCPConn)
+		gone bool
+	}{
+		{"close, where it means leaving", HalfCloseLeaves, closeConn, true},
+		{"half-close, where it means leaving", HalfCloseLeaves, halfClose, true},
+		{"reset, where a half-close means leaving", HalfCloseLeaves, reset, true},
+		{"half-close, where it doesn't", HalfCloseWaits, halfClose, false},
+		{"reset, where a half-close doesn't", HalfCloseWaits, reset, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			arrived, left, verdict := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+			server := &http.Server{ConnContext: api.WithConn, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				// net/http watches the connection only after the body.
+				_, _ = io.Copy(io.Discard, r.Body)
+				client, release := ClientContext(r, c.rule)
+				defer release()
+				close(arrived)
+				<-left
+				<-r.Context().Done()
+				if c.gone {
+					<-client.Done()
+				}
+				verdict <- clientHasGone(r, c.rule) && client.Err() != nil
+			})}
+			listener := listen(t)
+			go func() { _ = server.Serve(clientConnListener{listener}) }()
+			t.Cleanup(func() { _ = server.Close() })
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+			is.NoErr(err)
+			<-arrived
+			c.end(conn.(*net.TCPConn))
+			close(left)
+			is.Equal(<-verdict, c.gone)
+		})
+	}
+}
+
+func TestReadEndOf(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want readEnd
+	}{
+		{nil, notEnded},
+		{io.EOF, closedByPeer},
+		{&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}, endedHere},
+		{&net.OpError{Op: "read", Err: net.ErrClosed}, endedHere},
+		{&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}, resetByPeer},
+		{&net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}, resetByPeer},
+	} {
+		t.Run(fmt.Sprint(c.err), func(t *testing.T) { is.New(t).Equal(readEndOf(c.err), c.want) })
+	}
+}
+
+// holdingTarget accepts requests and answers none. It tells of each that has arrived, and
+// when its connection has ended.
+type holdingTarget struct {
+	net.Listener
+	arrived, ended chan struct{}
+}
+
+func newHoldingTarget(t *testing.T) *holdingTarget {
+	t.Helper()
+	target := &holdingTarget{Listener: listen(t), arrived: make(chan struct{}, 8), ended: make(chan struct{}, 8)}
+	go acceptAll(target.Listener, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := conn.Read(buffer); err != nil {
+				target.ended <- struct{}{}
+				return
+			}
+			target.arrived <- struct{}{}
+		}
+	})
+	return target
+}
+
+// startAttempt forwards a request in the background.
+func (d *testDaemon) startAttempt(target net.Listener, attempts attemptContexts) chan dispatch.AttemptFinished {
+	d.lastStep.Store(int64(process.Now()))
+	finished := make(chan dispatch.AttemptFinished, 1)
+	go func() {
+		finished <- d.forward(attempts, &ClientRequest{AttemptID: "a", Method: "GET", URI: "/x", Header: http.Header{}}, dispatch.Forward{
+			ID: 1, Sequence: 1, Deadline: process.Now().Add(time.Minute), SendBefore: process.Now().Add(time.Minute),
+			Target: targets.Target{Instance: "t", Service: "s", Address: ids.Address(target.Addr().String())},
+		})
+	}()
+	return finished
+}
+
+// TestForward_CanceledAttemptClosesConnection cancels attempts on a new connection and on a
+// pooled one. The target sees each end, and nothing is learned from that on how long
+// connections may be idle.
+func TestForward_CanceledAttemptClosesConnection(t *testing.T) {
+	for _, pooled := range []bool{false, true} {
+		t.Run(fmt.Sprint("pooled ", pooled), func(t *testing.T) {
+			is := is.New(t)
+			d, target := newPlainDaemon(0), newHoldingTarget(t)
+			if pooled {
+				conn, err := net.Dial("tcp", target.Addr().String())
+				is.NoErr(err)
+				d.pool.put("t", newConnection(conn, targets.Target{Instance: "t", Service: "s", Address: ids.Address(target.Addr().String())}), 0)
+				d.ageIdleConnection(t, time.Second)
+			}
+			attempts := newAttemptContexts()
+			finished := d.startAttempt(target, attempts)
+			<-target.arrived
+			attempts.cancelUnsent() // bytes have left: this changes nothing
+			select {
+			case <-finished:
+				t.Fatal("an attempt of which bytes had left was ended")
+			default:
+			}
+			attempts.cancel()
+			<-target.ended
+			is.Equal((<-finished).Result, dispatch.MayHaveRun)
+			is.Equal(len(d.pool.idle["t"]), 0)
+			is.Equal(d.pool.recentIdleLimit, time.Duration(0))
+		})
+	}
+}
+
+// TestForward_CanceledBeforeSendingSendsNothing cancels an attempt before its first byte.
+func TestForward_CanceledBeforeSendingSendsNothing(t *testing.T) {
+	for _, pooled := range []bool{false, true} {
+		t.Run(fmt.Sprint("pooled ", pooled), func(t *testing.T) {
+			is := is.New(t)
+			d, target := newPlainDaemon(0), newFakeTarget(t)
+			target.respond = echoResponse
+			if pooled {
+				is.Equal(d.forwardPlain(target, "first").Result, dispatch.Complete)
+			}
+			before := target.requests.Load()
+			attempts := newAttemptContexts()
+			attempts.cancelUnsent()
+			is.Equal((<-d.startAttempt(target, attempts)).Result, dispatch.NotSent)
+			is.Equal(target.requests.Load(), before)
+		})
+	}
+}
--- a/internal/dataplane/proxy/client_handler.go
+++ b/internal/dataplane/proxy/client_handler.go
@@ -80,7 +80,9 @@
 		return
 	}
 	readTime := time.Since(begun)
-	response, forwardTime := d.Dispatch(r.Context(), request)
+	client, release := ClientContext(r, HalfCloseWaits)
+	defer release()
+	response, forwardTime := d.Dispatch(client, request)
 	dispatched := time.Now()
 	writeResponse(w, r, response)
 	d.meter.recordRequest(route.Name, route.Service, readTime+time.Since(dispatched), time.Since(begun)-forwardTime)
--- a/internal/dataplane/proxy/client_server.go
+++ b/internal/dataplane/proxy/client_server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"dunlinwell/internal/app/api"
 	"dunlinwell/internal/state/configuration"
 )
 
@@ -25,6 +26,7 @@
 	s := &clientServer{queue: newConnQueue(listener), conns: map[*clientConn]bool{}}
 	s.server = &http.Server{
 		Handler:           s.wrapHandler(handler),
+		ConnContext:       api.WithConn,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond,
 		IdleTimeout:       time.Duration(limits.IdleTimeoutMillis) * time.Millisecond,
--- a/internal/dataplane/proxy/connection.go
+++ b/internal/dataplane/proxy/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 	// responsive: something was read since the current request began, or reading timed
 	// out. If not, the connection was dead before it was used.
 	responsive bool
+	// stopWatching ends what closeOnEnd began; nil if there is nothing to end.
+	stopWatching func() bool
 }
 
 // newConnection wraps a network connection to a target.
@@ -63,6 +66,19 @@
 // nothing about a request.
 func (c *connection) discard() { _ = c.Close() }
 
+// closeOnEnd has the connection closed when a context ends, until it is released.
+func (c *connection) closeOnEnd(ctx context.Context) {
+	c.stopWatching = context.AfterFunc(ctx, c.discard)
+}
+
+// release ends what closeOnEnd began, and tells whether the connection wasn't closed by it.
+// Only after that may another request use it.
+func (c *connection) release() bool {
+	stop := c.stopWatching
+	c.stopWatching = nil
+	return stop == nil || stop()
+}
+
 // isOpen looks, without reading anything, whether the peer has neither closed the
 // connection nor sent anything unasked.
 func (c *connection) isOpen() bool {
--- a/internal/dataplane/proxy/connection_pool.go
+++ b/internal/dataplane/proxy/connection_pool.go
@@ -181,7 +181,12 @@
 	if !p.verifyIdentity {
 		return c, nil
 	}
-	if err := c.verifyIdentity(t, deadline); err != nil {
+	c.closeOnEnd(ctx)
+	err = c.verifyIdentity(t, deadline)
+	if !c.release() {
+		err = errs.Wrap(ctx.Err(), "verify identity", string(t.Address))
+	}
+	if err != nil {
 		c.discard()
 		return nil, err
 	}
--- a/internal/dataplane/proxy/dispatchers.go
+++ b/internal/dataplane/proxy/dispatchers.go
@@ -27,6 +27,7 @@
 type pendingRequest struct {
 	*ClientRequest
 	response chan dispatch.Response
+	attempts attemptContexts
 	// forwardTime is the time that all attempts at targets took. It is read only after
 	// the response was received.
 	forwardTime time.Duration
@@ -41,7 +42,8 @@
 // time that forwarding took. The context ends when the client has gone; the dispatcher is
 // told so, and decides what becomes of the request. There is a response all the same.
 func (d *Daemon) Dispatch(client context.Context, request *ClientRequest) (dispatch.Response, time.Duration) {
-	pending := &pendingRequest{ClientRequest: request, response: make(chan dispatch.Response, 1)}
+	pending := &pendingRequest{ClientRequest: request, response: make(chan dispatch.Response, 1), attempts: newAttemptContexts()}
+	defer pending.attempts.cancel()
 	s := d.dispatcherOf(request.Job.Service)
 	s.mu.Lock()
 	s.requests[request.Job.ID] = pending
@@ -122,6 +124,8 @@
 		switch c := command.(type) {
 		case dispatch.Forward:
 			requests[i] = s.requests[c.ID]
+		case dispatch.CancelForward:
+			requests[i] = s.requests[c.ID]
 		case dispatch.Response:
 			requests[i] = s.requests[c.ID]
 			delete(s.requests, c.ID)
@@ -141,10 +145,16 @@
 	case dispatch.Forward:
 		go func() {
 			begun := time.Now()
-			finished := d.forward(request.ClientRequest, c)
+			finished := d.forward(request.attempts, request.ClientRequest, c)
 			request.forwardTime += time.Since(begun)
 			d.stepDispatcher(service, finished)
 		}()
+	case dispatch.CancelForward:
+		if c.EvenIfSent {
+			request.attempts.cancel()
+		} else {
+			request.attempts.cancelUnsent()
+		}
 	case dispatch.Response:
 		request.response <- c
 	}
--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -18,6 +18,11 @@
 // a dispatch.IdempotencyCall through Control (idempotency.go), which has the connection to
 // the stores; its reply comes back as a [DispatchEvent].
 //
+// A client that goes away ends its ClientContext (client_departure.go). The dispatcher hears
+// of it as a dispatch.ClientDisconnected, and may answer with a dispatch.CancelForward, which
+// ends the attempt at the target by closing its connection (attempt_contexts.go). net/http
+// watches a client's connection from the end of the request's body on.
+//
 // A proxy without confirmations goes through these steps, by their age (a registry's push
 // confirms configuration and targets; lease.go says what counts):
 //
--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -44,15 +44,20 @@
 
 // forward sends a request to its target, once, and checks the response. The result is
 // NotSent only if no byte of the request can have reached the target.
-func (d *Daemon) forward(request *ClientRequest, f dispatch.Forward) dispatch.AttemptFinished {
+func (d *Daemon) forward(attempts attemptContexts, request *ClientRequest, f dispatch.Forward) dispatch.AttemptFinished {
 	finished := dispatch.AttemptFinished{ID: f.ID, Sequence: f.Sequence, Result: dispatch.NotSent}
 	deadline := time.Now().Add(f.Deadline.Sub(process.Now()))
-	conn, err := d.connect(f, deadline)
+	conn, err := d.connect(attempts.unsent, f, deadline)
 	if err != nil {
 		finished.Reason = err.Error()
 		return finished
 	}
-	// Opening the connection took time: the last check before the first byte.
+	// Opening the connection took time: the last checks before the first byte.
+	if attempts.unsent.Err() != nil {
+		conn.discard()
+		finished.Reason = "the client has gone"
+		return finished
+	}
 	if !MaySend(process.Now(), f.SendBefore, ids.Time(d.lastStep.Load())) {
 		conn.discard()
 		finished.Reason = "no time left, or this proxy was paused"
@@ -60,6 +65,7 @@
 	}
 	// It fails only on a closed connection, as the write that follows does.
 	_ = conn.SetDeadline(deadline)
+	conn.closeOnEnd(attempts.running)
 	d.exchange(conn, request, f, &finished)
 	return finished
 }
@@ -73,21 +79,17 @@
 		finished.Result = dispatch.MayHaveRun
 	}
 	if err != nil {
-		d.pool.lowerRecentIdleLimit(conn)
-		conn.discard()
+		d.discardFailed(conn)
 		finished.Reason = "sending: " + err.Error()
 		return
 	}
 	response, err := d.readResponse(conn, request, f)
 	if err != nil {
-		if !conn.responsive {
-			d.pool.lowerRecentIdleLimit(conn)
-		}
-		conn.discard()
+		d.discardFailed(conn)
 		finished.Reason = err.Error()
 		return
 	}
-	if response.KeepAlive {
+	if conn.release() && response.KeepAlive {
 		d.pool.put(f.Target.Instance, conn, response.IdleTimeout)
 	} else {
 		conn.discard()
@@ -97,15 +99,24 @@
 	finished.Waiting, finished.Slots = response.Waiting, response.Slots
 }
 
+// discardFailed closes a connection on which a request failed. Where nothing was heard on
+// it, and it wasn't this side that closed it, it was dead before it was used.
+func (d *Daemon) discardFailed(conn *connection) {
+	if conn.release() && !conn.responsive {
+		d.pool.lowerRecentIdleLimit(conn)
+	}
+	conn.discard()
+}
+
 // connect takes an idle connection from the pool, or opens one if there is none or the
 // dispatcher wants a new one.
-func (d *Daemon) connect(f dispatch.Forward, deadline time.Time) (*connection, error) {
+func (d *Daemon) connect(ctx context.Context, f dispatch.Forward, deadline time.Time) (*connection, error) {
 	if !f.NewConnection {
 		if conn := d.pool.take(f.Target, f.RecentOnly); conn != nil {
 			return conn, nil
 		}
 	}
-	return d.pool.dial(context.Background(), f.Target, deadline)
+	return d.pool.dial(ctx, f.Target, deadline)
 }
 
 // maxCopiedBody is the largest body, in bytes, that is sent in one write with its header;
--- a/internal/dataplane/proxy/forward_faults_test.go
+++ b/internal/dataplane/proxy/forward_faults_test.go
@@ -150,7 +150,7 @@
 					}
 				}
 				d.lastStep.Store(int64(min(c.lastStep, process.Now())))
-				finished := d.forward(
+				finished := d.forward(newAttemptContexts(),
 					&ClientRequest{AttemptID: "late", Method: "POST", URI: "/x", Header: http.Header{"Id": {"late"}}},
 					dispatch.Forward{
 						ID: 1, Sequence: 1, Deadline: c.deadline, SendBefore: c.sendBefore,
--- a/internal/dataplane/proxy/helpers_test.go
+++ b/internal/dataplane/proxy/helpers_test.go
@@ -51,7 +51,7 @@
 		Job:    dispatch.Job{ID: 3, IdempotencyKey: "m", Attempt: 1, Repeatable: repeatable},
 		Header: http.Header{"Idempotency-Key": {"m"}, "Connection": {"X-Own"}, "X-Own": {"1"}, "X-Kept": {"2"}},
 	}
-	return d.forward(request, dispatch.Forward{
+	return d.forward(newAttemptContexts(), request, dispatch.Forward{
 		ID: 3, Sequence: 1, NewConnection: newConnection,
 		Deadline: process.Now().Add(5 * time.Second), SendBefore: process.Now().Add(5 * time.Second),
 		Target: targets.Target{Instance: "t", Service: "s", Incarnation: 4, Address: ids.Address(target.Addr().String())},
@@ -73,7 +73,7 @@
 func (d *testDaemon) forwardRequest(target net.Listener, request *ClientRequest, recentOnly bool, limit time.Duration) dispatch.AttemptFinished {
 	d.lastStep.Store(int64(process.Now()))
 	request.Method, request.URI, request.Header = "POST", "/x", http.Header{"Id": {request.AttemptID}}
-	return d.forward(request, dispatch.Forward{
+	return d.forward(newAttemptContexts(), request, dispatch.Forward{
 		ID: 1, Sequence: 1, RecentOnly: recentOnly,
 		Deadline: process.Now().Add(limit), SendBefore: process.Now().Add(limit),
 		Target: targets.Target{Instance: "t", Service: "s", Address: ids.Address(target.Addr().String())},
--- a/internal/dataplane/proxy/run.go
+++ b/internal/dataplane/proxy/run.go
@@ -77,7 +77,7 @@
 func (d *Daemon) serveListeners(ctx context.Context, pages net.Listener) error {
 	gracePeriod := d.Options.GracePeriod
 	if d.Options.ClientListen == "" {
-		return api.Serve(ctx, pages, d.handler(true), gracePeriod)
+		return api.Serve(ctx, clientConnListener{pages}, d.handler(true), gracePeriod)
 	}
 	clients, err := api.Listen(d.Options.ClientListen)
 	if err != nil {
--- a/internal/testsupport/simulator/defect.go
+++ b/internal/testsupport/simulator/defect.go
@@ -29,6 +29,8 @@
 	SkipIdentityCheck bool
 	// CloseLongLived: long-lived connections are closed after each response.
 	CloseLongLived bool
+	// DeafToDepartures: proxies don't notice that a client has left.
+	DeafToDepartures bool
 	// Response, if set, alters what proxies respond to clients.
 	Response func(dispatch.Response) dispatch.Response
 	// ControlLease, if set, is the duration of the lease under which a registry speaks
--- a/internal/testsupport/simulator/defect_test.go
+++ b/internal/testsupport/simulator/defect_test.go
@@ -98,6 +98,7 @@
 		"acted before the last sync":     {want: "was known|reads back as|given to", defect: Defect{SyncLate: true}, script: func(*World) {}},
 		"blank store keeps its identity": {want: "was known|reads back as|given to", defect: Defect{BlankKeepsIdentity: true}, script: wipedAndRestarted},
 		"new seeds lead nowhere":         {want: "can't be read", defect: Defect{DeadSeeds: true}, script: seedsTurnedThenReplaced},
+		"deaf to departures":             {want: "after its client had left", script: clientsLeave, defect: Defect{DeafToDepartures: true}},
 		"reset taken for not sent":       {want: "run twice", defect: Defect{ResetIsUnsent: true}, script: connectionsReset},
 		"emptied cell":                   {want: "emptied", script: drainAgainAndAgain, defect: Defect{Message: alterPushes(replaceInPush(`"emptied":true`, `"emptied":false`))}},
 		"lease without end":              {want: "cut off, answered", script: Scenes["core-machine-1-cut-off-both-ways"], defect: Defect{ControlLease: time.Hour}},
--- a/internal/testsupport/simulator/dispatchers.go
+++ b/internal/testsupport/simulator/dispatchers.go
@@ -39,6 +39,7 @@
 	// attempt is the client's own count, which Job.Attempt lacks if it isn't sent.
 	attempt    int
 	onResponse func(dispatch.Response)
+	departure  departure
 }
 
 // newDispatchers makes the data plane of a run of a proxy.
@@ -120,6 +121,8 @@
 	case dispatch.Forward:
 		// As with a real scheduler a moment passes, in which the process may freeze.
 		p.later(p.world.randomDuration(0, 2*time.Millisecond), func() { d.forward(service, c) })
+	case dispatch.CancelForward:
+		d.cancel(c)
 	case dispatch.Response:
 		request := d.requestsByID[c.ID]
 		delete(d.requestsByID, c.ID)
@@ -135,8 +138,9 @@
 // dropRequests forgets all requests when the proxy is killed: their clients get no response.
 func (d *dispatchers) dropRequests() { d.requestsByID = map[ids.RequestID]*forwardedRequest{} }
 
-// receive handles a client's request as the real front end does.
-func (d *dispatchers) receive(route ids.Name, token string, key ids.IdempotencyKey, number int, sendsAttemptCount bool, timeLeft time.Duration, respond func(dispatch.Response)) {
+// receive handles a client's request as the real front end does. It returns the request's id; 0
+// if no dispatcher has got it.
+func (d *dispatchers) receive(route ids.Name, token string, key ids.IdempotencyKey, number int, sendsAttemptCount bool, timeLeft time.Duration, respond func(dispatch.Response)) ids.RequestID {
 	var rule configuration.Route
 	ok := false
 	if d.view != nil {
@@ -144,11 +148,11 @@
 	}
 	if !ok && !d.servingState.LeaseValid {
 		respond(respondRouteUnknown(number, sendsAttemptCount, key))
-		return
+		return 0
 	}
 	if !ok {
 		respond(dispatch.Response{Class: dispatch.ClientError, Status: 404})
-		return
+		return 0
 	}
 	attempt := number
 	if !sendsAttemptCount {
@@ -162,6 +166,7 @@
 	d.requestsByID[job.ID] = &forwardedRequest{Job: job, requestToken: token, attempt: number, onResponse: respond}
 	d.requests++
 	d.step(rule.Service, dispatch.RequestArrived{Job: job})
+	return job.ID
 }
 
 // respondRouteUnknown answers at a proxy that doesn't know the route yet. It rejects, which says
--- a/internal/testsupport/simulator/forward.go
+++ b/internal/testsupport/simulator/forward.go
@@ -46,7 +46,7 @@
 			end(0, notSent)
 			return
 		}
-		if !proxy.MaySend(p.now(), command.SendBefore, d.lastTick) {
+		if request.departure.cancelUnsent || !proxy.MaySend(p.now(), command.SendBefore, d.lastTick) {
 			end(0, notSent)
 			return
 		}
@@ -59,6 +59,7 @@
 func (d *dispatchers) sendToTarget(service ids.Name, command dispatch.Forward, request *forwardedRequest, receiver *target, oneWay time.Duration) {
 	p, w := d.process, d.process.world
 	ended := false
+	request.checkSending(p)
 	generation := p.generation
 	var call *exchange
 	end := func(result dispatch.AttemptFinished) {
@@ -76,6 +77,13 @@
 		p.later(0, func() { end(broken) })
 	}})
 	p.later(max(command.Deadline.Sub(p.now()), 0), func() { end(mayHaveRun) })
+	request.departure.abort = func() { end(mayHaveRun) }
+	// A target whose connection was closed drops its work.
+	checkWorking := func() {
+		if !ended {
+			request.checkWorking(receiver, oneWay)
+		}
+	}
 	targetGeneration, sent, timeLeft := receiver.generation, w.now, command.Deadline.Sub(p.now())
 	w.schedule(oneWay, func() {
 		if !receiver.up || receiver.generation != targetGeneration {
@@ -86,7 +94,7 @@
 		}
 		arrived := w.now
 		receiver.whenAwake(func() {
-			receiver.execute(request, p, service, sent, arrived, timeLeft, func(response idempotency.Response, ok bool) {
+			receiver.execute(request, p, service, sent, arrived, timeLeft, checkWorking, func(response idempotency.Response, ok bool) {
 				if p.generation != generation {
 					return
 				}
--- a/internal/testsupport/simulator/scenes.go
+++ b/internal/testsupport/simulator/scenes.go
@@ -40,6 +40,7 @@
 	"answers-lost-and-orders-resent":      answersLostAndResent,
 	"connections-reset-under-load":        connectionsReset,
 	"power-lost-after-acknowledgements":   powerLostAfterAcks,
+	"clients-leave":                       clientsLeave,
 }
 
 // freezeAtClaim freezes proxies between the claim of an idempotency key and the sending of its
--- a/internal/testsupport/simulator/scenes_target.go
+++ b/internal/testsupport/simulator/scenes_target.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// clientsLeave has half of the clients leave at any moment of their request, while responses are
+// lost, targets freeze and proxies are restarted.
+func clientsLeave(w *World) {
+	w.clients.leaveShare = 0.5
+	w.schedule(time.Duration(w.faultsEnd()-w.now), func() { w.clients.leaveShare = 0 })
+	for _, t := range w.targets {
+		t.silentShare = 0.1
+	}
+	w.repeat(3*time.Second, 4*time.Second, 9, func(i int) { w.targets[i%len(w.targets)].freeze(2 * time.Second) })
+	w.repeat(5*time.Second, 9*time.Second, 4, func(int) { w.restartProcess(w.randomProcess(membership.Proxy), 500*time.Millisecond) })
+}
+
 // drained drains, removes and restarts the targets in turn.
 func drained(w *World) {
 	for i, t := range w.targets {
--- a/internal/testsupport/simulator/target.go
+++ b/internal/testsupport/simulator/target.go
@@ -125,8 +125,9 @@
 }
 
 // execute executes a request: the checker records it, and it is answered when the work is done.
-// Sent is when its bytes left the proxy, arrived when they reached the target.
-func (t *target) execute(request *forwardedRequest, p *process, service ids.Name, sent, arrived ids.Time, timeLeft time.Duration, done func(idempotency.Response, bool)) {
+// Sent is when its bytes left the proxy, arrived when they reached the target. beforeDone is called
+// at the end of the work.
+func (t *target) execute(request *forwardedRequest, p *process, service ids.Name, sent, arrived ids.Time, timeLeft time.Duration, beforeDone func(), done func(idempotency.Response, bool)) {
 	t.inFlight++
 	execution := checker.Execution{
 		At: t.world.wallTime(), Sent: timeOf(sent), Instance: t.id, Service: t.service, Zone: t.zone, Token: request.requestToken, IdempotencyKey: string(request.IdempotencyKey), Attempt: request.attempt, AttemptHidden: request.Job.Attempt == 0,
@@ -148,6 +149,7 @@
 			return
 		}
 		t.inFlight--
+		beforeDone()
 		draw := t.world.random.Float64()
 		done(idempotency.Response{Status: 200, Body: []byte(body)}, draw >= t.silentShare+t.corruptShare)
 	})
