Mend: a database that can't be opened is set aside only if it is shown to be damaged

Cause: storage.Open took any failure but a newer format for damage, so a store that started while its disk was full renamed its sound database and came back blank, under a new id: a lost copy of all that was acknowledged, by our own hand. Class: an error or a silence taken for evidence of a loss. Change: only SQLite's codes for damage, its own check and a failed check of the records set a database aside; anything else is returned and leaves the files alone. A failure of the folder's lock is ErrLocked only if another process holds it; an unreadable header isn't an absent one; a page that can't be read isn't a damaged one.

--- a/internal/state/storage/database.go
+++ b/internal/state/storage/database.go
@@ -50,9 +50,10 @@
 
 var processStart = time.Now()
 
-// Open opens a data folder for this process alone, and makes it if need be. It returns
-// ErrLocked or a *NewerFormatError where it can't; a database that can't be opened for
-// any other reason is set aside, and a blank one opened in its place.
+// Open opens a data folder for this process alone, and makes it if need be. A database
+// that is shown to be damaged is set aside, and a blank one opened in its place. Any other
+// failure is returned, ErrLocked and *NewerFormatError among them, and leaves the database as
+// it is: a disk that is full, or busy, or short of memory has lost nothing.
 func Open(dir string) (*Database, error) { return OpenChecked(dir, nil) }
 
 // OpenChecked opens a data folder whose records must pass a check as well. A database
@@ -84,9 +85,13 @@
 	if err != nil {
 		return nil, errs.Wrap(err, "open lock", dir)
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = ErrLocked
+	}
+	if err != nil {
 		_ = lock.Close() // nothing was written to it
-		return nil, errs.Wrap(ErrLocked, "lock data folder", dir)
+		return nil, errs.Wrap(err, "lock data folder", dir)
 	}
 	return lock, nil
 }
@@ -99,12 +104,11 @@
 // name, and a blank one opened in its place.
 func (d *Database) openOrReplace(dir string, check func(*Database) error) error {
 	path := filepath.Join(dir, databaseFile)
-	err := d.openFileAndCheck(path, check)
-	var newer *NewerFormatError
-	if err == nil || errors.As(err, &newer) {
+	damage, err := d.openFileAndCheck(path, check)
+	if damage == nil {
 		return err
 	}
-	d.DamageCause = err
+	d.DamageCause = damage
 	if d.SetAsidePath, err = SetAside(dir, "damaged"); err != nil {
 		return err
 	}
--- a/internal/state/storage/doc.go
+++ b/internal/state/storage/doc.go
@@ -9,6 +9,9 @@
 //   - A database of a newer format isn't touched, and a damaged one is set aside and
 //     replaced by a blank one with another store id: a disk that has lost its records
 //     must never vote as the store that it was.
+//   - A database is set aside only on evidence that its content is damaged (isDamage). One
+//     that can't be opened for another reason stays as it is, and Open fails: the folder's
+//     owner tries again, or ends and is started again.
 //   - A disk that can't be read ends the process. It must not pass for an empty one,
 //     or the store would forget what it voted for.
 //
--- a/internal/state/storage/open_failure_test.go
+++ b/internal/state/storage/open_failure_test.go
@@ -1,12 +1,16 @@
 package storage
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/mattn/go-sqlite3"
 
+	"dunlinwell/internal/base/errs"
 	"dunlinwell/internal/base/event"
 )
 
@@ -40,3 +44,48 @@
 		})
 	}
 }
+
+func TestIsDamage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"corrupt", sqlite3.Error{Code: sqlite3.ErrCorrupt}, true},
+		{"not a database", sqlite3.Error{Code: sqlite3.ErrNotADB}, true},
+		{"failed check", &IntegrityError{Report: "Tree 2 page 3: btreeInitPage() returns error code 11"}, true},
+		{"full", sqlite3.Error{Code: sqlite3.ErrFull}, false},
+		{"input or output", sqlite3.Error{Code: sqlite3.ErrIoErr}, false},
+		{"can't open", sqlite3.Error{Code: sqlite3.ErrCantOpen}, false},
+		{"busy", sqlite3.Error{Code: sqlite3.ErrBusy}, false},
+		{"out of memory", sqlite3.Error{Code: sqlite3.ErrNomem}, false},
+		{"read-only", sqlite3.Error{Code: sqlite3.ErrReadonly}, false},
+		{"unreadable page", ErrUnreadablePage, false},
+		{"too many files", syscall.EMFILE, false},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(isDamage(errs.Wrap(c.err, "open", "d")), c.want) })
+	}
+}
+
+func TestIsUnreadablePage(t *testing.T) {
+	for report, want := range map[string]bool{
+		"unable to get the page. error code=10":   true,
+		"unable to get the page. error code=7":    true,
+		"unable to get the page. error code=266":  true, // IOERR_READ
+		"unable to get the page. error code=11":   false,
+		"unable to get the page. error code=779":  false, // CORRUPT_INDEX
+		"row 3 missing from index records_autoin": false,
+	} {
+		t.Run(report, func(t *testing.T) { is.New(t).Equal(isUnreadablePage(report), want) })
+	}
+}
+
+// TestOpen_FailedLockIsNotAHeldFolder has the folder be a file: nobody holds it.
+func TestOpen_FailedLockIsNotAHeldFolder(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "data")
+	is.NoErr(os.MkdirAll(filepath.Join(dir, lockFile), 0o755))
+	_, err := Open(dir)
+	is.True(err != nil)
+	is.True(!errors.Is(err, ErrLocked))
+}
--- a/internal/state/storage/open_file.go
+++ b/internal/state/storage/open_file.go
@@ -4,12 +4,11 @@
 	"context"
 	"database/sql"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 
-	_ "github.com/mattn/go-sqlite3" // registers the driver "sqlite3"
-
 	"dunlinwell/internal/base/errs"
 )
 
@@ -38,21 +37,32 @@
 	headerVersionEnd    = headerVersionOffset + 4
 )
 
-// openFileAndCheck opens the database and has its records checked.
-func (d *Database) openFileAndCheck(path string, check func(*Database) error) error {
-	if err := d.openFile(path); err != nil || check == nil {
-		return err
+// openFileAndCheck opens the database and has its records checked. It returns what shows that
+// the database is damaged, or else why it can't be opened.
+func (d *Database) openFileAndCheck(path string, check func(*Database) error) (damage, err error) {
+	if err := d.openFile(path); err != nil {
+		if isDamage(err) {
+			return err, nil
+		}
+		return nil, err
 	}
-	err := check(d)
-	if err != nil {
+	if check == nil {
+		return nil, nil
+	}
+	damage = check(d)
+	if damage != nil {
 		_ = d.closeDatabase() // it is set aside for what the check has found
 	}
-	return err
+	return damage, nil
 }
 
 // openFile opens the database, and makes it if it isn't there.
 func (d *Database) openFile(path string) error {
-	if format, ok := readFormat(path); ok && format > Format {
+	format, err := readFormat(path)
+	if err != nil {
+		return errs.Wrap(err, "read database's header", path)
+	}
+	if format > Format {
 		return &NewerFormatError{Found: format}
 	}
 	db, err := sql.Open("sqlite3", "file:"+path+connectionOptions)
@@ -73,19 +83,25 @@
 }
 
 // readFormat reads the format from the file's own header, so that a newer database
-// isn't so much as opened for writing; false if there is no such file or header.
-func readFormat(path string) (int, bool) {
+// isn't so much as opened for writing; 0 if there is no such file or header.
+func readFormat(path string) (int, error) {
 	file, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
 	if err != nil {
-		return 0, false
+		return 0, err
 	}
 	header := make([]byte, headerVersionEnd)
 	_, err = io.ReadFull(file, header)
 	_ = file.Close() // opened for reading only
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return 0, nil
+	}
 	if err != nil || string(header[:len(headerMagic)]) != headerMagic {
-		return 0, false
+		return 0, err
 	}
-	return int(binary.BigEndian.Uint32(header[headerVersionOffset:])), true
+	return int(binary.BigEndian.Uint32(header[headerVersionOffset:])), nil
 }
 
 // prepare checks the file, makes the table if need be, prepares the statements and
@@ -109,10 +125,13 @@
 	if err := d.db.QueryRow("PRAGMA quick_check(1)").Scan(&report); err != nil {
 		return err
 	}
-	if report != "ok" {
-		return errs.Wrap(&IntegrityError{Report: report}, "check database", "")
+	if report == "ok" {
+		return nil
 	}
-	return nil
+	if isUnreadablePage(report) {
+		return errs.New("check database", "", "%w: %s", ErrUnreadablePage, report)
+	}
+	return errs.Wrap(&IntegrityError{Report: report}, "check database", "")
 }
 
 func (d *Database) prepareStatements() error {
