Failing tests: a route that was added is rejected until the next paced refresh

TestRefresh_AddedRouteIsServedAtOnce and TestRefresh_AddedServiceIsServedAtOnce: in a fleet of 420 targets and 90 proxies, a request on a route that the router already has gets 503 'its route was changed meanwhile' ('this proxy is not in step' for a new service) until the refresh, which may wait for 0.4 s.

--- /dev/null
+++ b/internal/dataplane/proxy/added_routes_test.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dunlinwell/internal/base/event"
+	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/controlplane/distribution"
+	"dunlinwell/internal/controlplane/targets"
+	"dunlinwell/internal/dataplane/dispatch"
+	"dunlinwell/internal/state/configuration"
+)
+
+// dispatchingFixture is a control machine with the router and the dispatchers that it feeds.
+type dispatchingFixture struct {
+	*controlFixture
+	view        *configuration.View
+	dispatchers map[ids.Name]*dispatch.Dispatcher
+	lastRequest ids.RequestID
+}
+
+func newDispatchingFixture(control *controlFixture) *dispatchingFixture {
+	return &dispatchingFixture{controlFixture: control, dispatchers: map[ids.Name]*dispatch.Dispatcher{}}
+}
+
+// step steps the control machine and carries out what concerns routes and dispatchers.
+func (f *dispatchingFixture) step(ev event.Event) {
+	for _, command := range f.Step(f.now, ev) {
+		switch c := command.(type) {
+		case UpdateRoutes:
+			f.view = c.View
+		case DispatchEvent:
+			f.dispatcher(c.Service).Step(f.now, c.Event)
+		}
+	}
+}
+
+func (f *dispatchingFixture) dispatcher(service ids.Name) *dispatch.Dispatcher {
+	if f.dispatchers[service] == nil {
+		f.dispatchers[service] = dispatch.New(dispatch.Options{Random: rand.New(rand.NewPCG(1, 1))})
+	}
+	return f.dispatchers[service]
+}
+
+// receive has a registry push a configuration and targets.
+func (f *dispatchingFixture) receive(encoded []byte, revision ids.Revision, list ...targets.Target) {
+	f.pushes++
+	f.step(event.Received{From: "r", Message: distribution.Push{
+		Number: f.pushes, Revision: revision, Configuration: encoded, Targets: list, EchoedTime: f.now, ProxyRunID: f.Self.RunID,
+	}})
+}
+
+// send sends a request on a route of the router's and returns what becomes of it.
+func (f *dispatchingFixture) send(route ids.Name) string {
+	rule, ok := f.view.Routes[route]
+	if !ok {
+		return "no route"
+	}
+	f.lastRequest++
+	commands := f.dispatcher(rule.Service).Step(f.now, dispatch.RequestArrived{Job: dispatch.Job{
+		ID: f.lastRequest, Route: rule.Name, Service: rule.Service, Repeatable: true, Attempt: 1,
+		Deadline: f.now.Add(time.Second), Terms: RouteTerms(rule),
+	}})
+	for _, command := range commands {
+		if r, ok := command.(dispatch.Response); ok {
+			return r.Reason
+		}
+	}
+	return fmt.Sprintf("%T", commands[0])
+}
+
+// configurationWithRoutes is encodedConfiguration's with more routes in it, each under its
+// path and to the service of its name's first letter.
+func configurationWithRoutes(t *testing.T, services int, routes ...string) ([]byte, ids.Revision) {
+	t.Helper()
+	document, err := configuration.Decode(encodedConfiguration(t, services))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range routes {
+		body, err := json.Marshal(map[string]any{"prefix": "/" + name + "/", "service": name[:1], "repeatable": true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		route := configuration.VersionedItem{Kind: "route", Name: ids.Name(name), Version: 1, Body: body}
+		next, result := document.Merge(configuration.Merge{Items: []configuration.VersionedItem{route}})
+		if !result.Accepted() {
+			t.Fatal(result.Violations)
+		}
+		document = next
+	}
+	return document.Encode(false), document.Revision
+}
+
+// In a large fleet, where targets change all the time, a route that is added is served as soon
+// as the router knows it. Its requests were once rejected until the next refresh, up to 0.4 s
+// later; in a storm of changes that was most of the time.
+func TestRefresh_AddedRouteIsServedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newDispatchingFixture(newStormFixture(t))
+	f.now = f.now.Add(maxRefreshInterval)
+	// This refresh is due, and gives the dispatcher its targets.
+	f.receive(nil, 1, changedTarget(0))
+	for i := range 8 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		var routes []string
+		for n := range i + 1 {
+			routes = append(routes, fmt.Sprint("a", n))
+		}
+		f.receive(configurationWithRoutes(t, 1, routes...))
+		is.Equal(f.send(ids.Name(routes[i])), "dispatch.Forward")
+		is.Equal(f.send(ids.Name(routes[0])), "dispatch.Forward") // the earlier ones as well
+	}
+}
+
+// changedTarget is a target of the storm, newer than the fixture knows it.
+func changedTarget(i int) targets.Target {
+	target := stormTarget(i)
+	target.Sequence, target.Occupancy = 2, 1
+	return target
+}
+
+// A service that is added with its route needs targets and slots, so its refresh doesn't wait.
+func TestRefresh_AddedServiceIsServedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newDispatchingFixture(newStormFixture(t))
+	other := stormTarget(1000)
+	other.Service = "b"
+	f.now = f.now.Add(maxRefreshInterval)
+	f.receive(nil, 1, other)
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.receive(configurationWithRoutes(t, 2, "b0"))
+	is.Equal(f.send("b0"), "dispatch.Forward")
+}
