Mend: a route's terms reach its dispatcher with the configuration, not with a refresh

Cause: a proxy's router adopts a configuration at once, the dispatchers got its routes' terms with the ServiceState of the next refresh, which is paced by targets times proxies (up to 0.4 s in a large fleet). Until then a request on an added or changed route was rejected as 'changed meanwhile', a new service's as 'not in step': a confirmed route that isn't served, most of the time in a storm of changes. Class: two parts of one process adopt a change at different moments. Ruled out: lost pushes (the router has the route). Change: TermsUpdated goes to the dispatchers whose terms changed, before the router's update; a service without a state is never paced. Found in the search for the same class: limits that arrived before the clients' listener existed held only from the next change on (and the field was written unsynchronized); the listener is now opened before the control machine runs.

--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -99,6 +99,9 @@
 		d.onClientDisconnected(now, e.ID)
 	case ServiceState:
 		d.onServiceState(now, e)
+	case TermsUpdated:
+		d.service.Terms = e.Terms
+		d.dispatchQueue(now)
 	case LeaseUpdated:
 		d.leaseExpiresAt = e.ExpiresAt
 	case event.Tick:
--- a/internal/dataplane/dispatch/messages.go
+++ b/internal/dataplane/dispatch/messages.go
@@ -128,6 +128,10 @@
 	// for the response any more. A request that has its response is not affected.
 	ClientDisconnected struct{ ID ids.RequestID }
 
+	// TermsUpdated replaces the rules of the service's routes, without the rest of the
+	// ServiceState at hand.
+	TermsUpdated struct{ Terms map[ids.Name]RouteTerms }
+
 	// LeaseUpdated replaces the time until which requests may be forwarded by the
 	// service state at hand.
 	LeaseUpdated struct{ ExpiresAt ids.Time }
--- a/internal/dataplane/proxy/added_routes_test.go
+++ b/internal/dataplane/proxy/added_routes_test.go
@@ -130,10 +130,14 @@
 func TestRefresh_AddedServiceIsServedAtOnce(t *testing.T) {
 	is := is.New(t)
 	f := newDispatchingFixture(newStormFixture(t))
-	other := stormTarget(1000)
-	other.Service = "b"
+	var others []targets.Target
+	for i := range stormProxies { // so many that this proxy has slots at some
+		other := stormTarget(1000 + i)
+		other.Service = "b"
+		others = append(others, other)
+	}
 	f.now = f.now.Add(maxRefreshInterval)
-	f.receive(nil, 1, other)
+	f.receive(nil, 1, others...)
 	f.now = f.now.Add(10 * time.Millisecond)
 	f.receive(configurationWithRoutes(t, 2, "b0"))
 	is.Equal(f.send("b0"), "dispatch.Forward")
--- a/internal/dataplane/proxy/client_listener_test.go
+++ b/internal/dataplane/proxy/client_listener_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"dunlinwell/internal/base/settings"
 	"dunlinwell/internal/state/configuration"
 )
 
@@ -96,6 +97,16 @@
 
 var strictLimits = configuration.Limits{MaxHeaderBytes: 1024, MaxBodyBytes: 1, HeaderTimeoutMillis: 100, IdleTimeoutMillis: 100}
 
+// Limits that arrive before the first client is served hold from the first client on.
+func TestDaemon_LimitsBeforeFirstClient(t *testing.T) {
+	is := is.New(t)
+	d := NewDaemon(DaemonOptions{Common: settings.Common{Name: "c1", Address: "127.0.0.1:1", HTTPAddress: "127.0.0.1:2", LogLevel: "error"}, ClientListen: "127.0.0.1:0"})
+	is.NoErr(d.listenForClients())
+	t.Cleanup(func() { _ = d.clientListener.listener.Close() })
+	d.execute(UpdateRoutes{View: &configuration.View{Limits: strictLimits}})
+	is.Equal(d.clientListener.limits, strictLimits)
+}
+
 // New limits don't end requests in flight, and connections of the old server are closed
 // when they are idle.
 func TestClientListener_LimitsChangeWithOpenConnections(t *testing.T) {
--- a/internal/dataplane/proxy/configuration.go
+++ b/internal/dataplane/proxy/configuration.go
@@ -42,6 +42,7 @@
 	c.view.SetRegions(c.Regions)
 	c.restartZoneSlowStart(now, previous)
 	c.noteZoneDrain(now, hadLease)
+	c.sendChangedTerms()
 	c.Emit(UpdateRoutes{View: c.view})
 	c.Log(event.LevelInfo, logConfigurationAdopted, "revision", formatUint(uint64(next.Revision)))
 }
--- a/internal/dataplane/proxy/daemon.go
+++ b/internal/dataplane/proxy/daemon.go
@@ -31,7 +31,8 @@
 	frontend  Frontend
 	// targetProtocol is the frontend's.
 	targetProtocol TargetProtocol
-	// clientListener is nil as long as clients are not served at an address of their own.
+	// clientListener is set before Run starts anything else; nil if clients have no address
+	// of their own.
 	clientListener *clientListener
 	meter          *usageMeter
 	router         atomic.Pointer[router]
--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -41,6 +41,7 @@
 //     just before the first byte). Other daemons rely on this when they count on a
 //     change, a drained zone or a departed target to have reached every proxy.
 //   - A configuration is never replaced by an older one.
+//   - The router never has a route whose terms its dispatcher lacks (sendChangedTerms).
 //   - A push is acknowledged only after the dispatchers have received its contents.
 //   - A request that may have reached its target is never sent again by this package,
 //     and no response is passed on before it was read whole and checked.
--- a/internal/dataplane/proxy/refresh.go
+++ b/internal/dataplane/proxy/refresh.go
@@ -19,6 +19,8 @@
 	sentState   stateVersion
 	// sentServices are the services whose dispatchers were refreshed last.
 	sentServices []ids.Name
+	// sentTerms are the terms of each service's routes that its dispatcher has.
+	sentTerms map[ids.Name]map[ids.Name]dispatch.RouteTerms
 	// unacknowledged are pushes whose contents the dispatchers don't have yet.
 	unacknowledged []receivedPush
 }
@@ -76,10 +78,10 @@
 }
 
 // mayDelayRefresh tells whether a refresh may wait for a later tick. What says whether
-// this proxy serves at all never waits.
+// this proxy serves at all never waits, nor does the first state of a service's dispatcher.
 func (c *Control) mayDelayRefresh(now ids.Time, next stateVersion) bool {
 	sent := c.sentState
-	if sent.confirmed != next.confirmed || sent.closed != next.closed || sent.endlessLeaseBegun != next.endlessLeaseBegun {
+	if c.hasNewService() || sent.confirmed != next.confirmed || sent.closed != next.closed || sent.endlessLeaseBegun != next.endlessLeaseBegun {
 		return false
 	}
 	pairs := c.targets.Len() * next.slotHolders
@@ -87,11 +89,20 @@
 	return c.lastRefresh != 0 && interval >= minRefreshInterval && now.Sub(c.lastRefresh) < interval
 }
 
+// hasNewService tells whether there is a service whose dispatcher has no state yet.
+func (c *Control) hasNewService() bool {
+	for name := range c.view.Services {
+		if _, sent := slices.BinarySearch(c.sentServices, name); !sent {
+			return true
+		}
+	}
+	return false
+}
+
 // sendServiceStates sends every dispatcher the state of its service, in order of name.
 func (c *Control) sendServiceStates(now ids.Time, holders []membership.Member) {
 	runEnded := c.endedRuns()
 	allocations := c.allocations(now, holders)
-	terms := c.routeTerms()
 	for _, name := range c.sentServices {
 		// The dispatcher of a service that was removed must stop serving it.
 		if _, ok := c.view.Services[name]; !ok {
@@ -108,7 +119,7 @@
 			RetryBudget:       c.retryBudget(service, holders),
 			IsCurrent:         c.sentState.confirmed || c.Lease == EndlessLease,
 			LeaseExpiresAt:    c.leaseEnd(),
-			Terms:             terms[name],
+			Terms:             c.sentTerms[name],
 			OwnZoneDrained:    c.sentState.closed,
 			RunEnded:          runEnded,
 		}})
@@ -131,6 +142,20 @@
 	return terms
 }
 
+// sendChangedTerms sends dispatchers the terms of their routes where these have changed. It goes
+// before each change of the router's configuration: a request is rejected if its terms, which
+// the router gives it, aren't those that its dispatcher knows, and the next refresh may be
+// maxRefreshInterval away.
+func (c *Control) sendChangedTerms() {
+	terms := c.routeTerms()
+	for _, service := range slices.Sorted(maps.Keys(c.view.Services)) {
+		if !maps.Equal(terms[service], c.sentTerms[service]) {
+			c.Emit(DispatchEvent{service, dispatch.TermsUpdated{Terms: terms[service]}})
+		}
+	}
+	c.sentTerms = terms
+}
+
 // endedRuns returns a function that tells whether a process run is over, by the
 // membership list as of now.
 func (c *Control) endedRuns() func(ids.DaemonID, ids.RunID) bool {
--- a/internal/dataplane/proxy/run.go
+++ b/internal/dataplane/proxy/run.go
@@ -40,6 +40,10 @@
 	if err != nil {
 		return err
 	}
+	// Before the control machine runs, which may have limits for the listener at once.
+	if err := d.listenForClients(); err != nil {
+		return err
+	}
 	supervisor := daemon.NewSupervisor("proxy", d.log)
 	supervisor.Add(d.owner)
 	supervisor.Add(daemon.NewTask("transport", func(c context.Context) error { return d.transport.Serve(c, wire) }))
@@ -79,10 +83,6 @@
 	if d.Options.ClientListen == "" {
 		return api.Serve(ctx, clientConnListener{pages}, d.handler(true), gracePeriod)
 	}
-	clients, err := api.Listen(d.Options.ClientListen)
-	if err != nil {
-		return err
-	}
 	var servers sync.WaitGroup
 	for address, handler := range d.frontend.ExtraListeners(d) {
 		listener, err := api.Listen(address)
@@ -93,12 +93,24 @@
 		servers.Go(func() { _ = api.Serve(ctx, listener, handler, gracePeriod) })
 	}
 	servers.Go(func() { _ = api.Serve(ctx, pages, d.handler(false), gracePeriod) })
-	d.clientListener = newClientListener(clients, d.frontend.ClientHandler(d))
-	err = d.clientListener.serve(ctx, gracePeriod)
+	err := d.clientListener.serve(ctx, gracePeriod)
 	servers.Wait()
 	return err
 }
 
+// listenForClients opens the clients' listener, if they have an address of their own.
+func (d *Daemon) listenForClients() error {
+	if d.Options.ClientListen == "" {
+		return nil
+	}
+	listener, err := api.Listen(d.Options.ClientListen)
+	if err != nil {
+		return err
+	}
+	d.clientListener = newClientListener(listener, d.frontend.ClientHandler(d))
+	return nil
+}
+
 // runTimers does what has to be done at intervals, until ctx ends.
 func (d *Daemon) runTimers(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
--- a/internal/testsupport/simulator/trace.go
+++ b/internal/testsupport/simulator/trace.go
@@ -61,6 +61,7 @@
 	"targets":        reflect.TypeFor[dispatch.ServiceState](),
 	"store-response": reflect.TypeFor[dispatch.IdempotencyReply](),
 	"lease":          reflect.TypeFor[dispatch.LeaseUpdated](),
+	"terms":          reflect.TypeFor[dispatch.TermsUpdated](),
 }
 
 // traceKinds gives the kind of each type in the tables.
