Failing test: an acknowledged end of a target is undone by another registry

TestDeregister_IsFinal: a DELETE at a registry that knows only an early heartbeat of the target gets the sequence after that one, so the registrar, which has later ones, refutes it.

--- a/internal/controlplane/registry/target_heartbeat_test.go
+++ b/internal/controlplane/registry/target_heartbeat_test.go
@@ -71,3 +71,40 @@
 	r.step(HeartbeatCall{ID: 4, Target: targetWithSequence(4)})
 	is.Equal(r.statuses[4], 200)
 }
+
+// TestDeregister_IsFinal has a target end by a call to a registry that knows only its first
+// heartbeat, while another copy, its registrar's, has later ones: neither that copy nor a
+// heartbeat that was delayed on its way brings the target back. Once its death was taken for a
+// mistaken verdict on its silence, and it was in use again until it fell silent.
+func TestDeregister_IsFinal(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry(true)
+	r.run(time.Second, nil)
+	r.step(HeartbeatCall{ID: 1, Target: targetWithSequence(1)})
+	registrar := targets.New()
+	registrar.Incremental, registrar.Self = true, "registrar"
+	for sequence := range ids.Sequence(9) {
+		registrar.Merge(r.now, targetWithSequence(sequence+1))
+	}
+	r.step(DeregisterCall{ID: 2, Instance: "i"})
+	ended, _ := r.Targets.Get(r.now, "i")
+	is.True(ended.Dead)
+
+	reply := registrar.Merge(r.now, ended)
+	r.deliver(targets.Update{Targets: reply})
+	late := targetWithSequence(10)
+	registrar.Merge(r.now, late)
+	r.step(HeartbeatCall{ID: 3, Target: late})
+	for name, table := range map[string]*targets.Table{"registry": r.Targets, "registrar": registrar} {
+		target, known := table.Get(r.now, "i")
+		if !known || !target.Dead {
+			t.Errorf("the %s has the target in use again", name)
+		}
+	}
+	// Another start of the target is another life.
+	restarted := targetWithSequence(1)
+	restarted.Incarnation = 2
+	r.step(HeartbeatCall{ID: 4, Target: restarted})
+	target, _ := r.Targets.Get(r.now, "i")
+	is.True(!target.Dead)
+}
