Mend: a target that has said that it ends stays ended at every registry

Cause: the end of a target (DELETE) got the sequence after the last heartbeat that the asked registry knew. The registrar, which alone has the renewals, took it for a mistaken verdict on the target's silence and refuted it; a heartbeat delayed on its way could undo it too. Class: an acknowledged order loses against older news held elsewhere. Change: it gets FinalSequence, above any heartbeat of the same incarnation; a next incarnation, or on the platform another instance id, comes after it as before. No new field on the wire.

--- a/internal/controlplane/registry/target_heartbeat.go
+++ b/internal/controlplane/registry/target_heartbeat.go
@@ -64,10 +64,9 @@
 		r.reply(call.ID, http.StatusOK, map[string]any{bodyKnown: false})
 		return
 	}
-	if !target.Dead {
-		target.Sequence = r.Targets.LatestSequence(call.Instance) + 1
-		target.Dead, target.Draining = true, true
-	}
+	// Other copies may have later heartbeats than this one, and some may still be on their way.
+	target.Sequence = targets.FinalSequence
+	target.Dead, target.Draining = true, true
 	r.handleHeartbeat(now, HeartbeatCall{ID: call.ID, Target: target})
 }
 
--- a/internal/controlplane/targets/target.go
+++ b/internal/controlplane/targets/target.go
@@ -48,6 +48,10 @@
 	ProxySequence ids.Sequence `json:"-"`
 }
 
+// FinalSequence is the sequence number of a target that has said itself that it ends. No
+// heartbeat has one as high, so nothing of the same incarnation comes after it.
+const FinalSequence ids.Sequence = maxCounter + 1
+
 // Newer reports whether t replaces other. At the same incarnation and sequence number
 // a declaration that the target is gone wins, so it holds until the target sends a
 // later heartbeat.
