Simulator: a scene of core halves under overlapping losses, changes and reads going on

The scene cuts the core in two three times; under each cut the whole core loses power, then all proxies do. The cut of a core machine stands in one function for both scenes.

--- a/internal/testsupport/simulator/scenes_core_partition.go
+++ b/internal/testsupport/simulator/scenes_core_partition.go
@@ -16,6 +16,7 @@
 		Scenes[fmt.Sprintf("core-machine-%d-cut-off-both-ways", i+1)] = func(w *World) { partitionCoreMachine(w, i, false, false) }
 		Scenes[fmt.Sprintf("core-machine-%d-deaf", i+1)] = func(w *World) { partitionCoreMachine(w, i, true, false) }
 	}
+	Scenes["halves-and-overlapping-losses"] = halvesAndOverlappingLosses
 	Scenes["core-machine-cut-off-and-restarted"] = func(w *World) { partitionCoreMachine(w, 0, false, true) }
 }
 
@@ -38,18 +39,8 @@
 // reach both sides. A deaf one can still be heard. With restarts, its processes and a proxy are
 // restarted meanwhile.
 func partitionCoreMachine(w *World, number int, deaf, restarts bool) {
-	var mine []*process
-	for _, p := range w.processes {
-		if p.role != membership.Proxy && p.name[len(p.name)-1:] == fmt.Sprint(number+1) {
-			mine = append(mine, p)
-		}
-	}
-	here := processSide(mine...)
-	there := func(name string, zone ids.Name) bool { return w.coreSide(name, zone) && !here(name, zone) }
-	w.schedule(partitionFrom, func() {
-		w.trace("%s and %s are cut off", mine[0].name, mine[1].name)
-		w.addPartition(partitionFor, &partition{sideA: there, sideB: here, partitionStyle: partitionStyle{oneWay: deaf}})
-	})
+	mine := w.coreMachine(number)
+	w.schedule(partitionFrom, func() { w.cutOffCoreMachine(number, partitionFor, partitionStyle{oneWay: deaf}) })
 	for _, p := range mine {
 		if p.role == membership.Registry {
 			w.repeat(partitionFrom+probeDelay, probeEvery, int((partitionFor-probeDelay-2*probeTimeout)/probeEvery), func(i int) { w.probePartitioned(p, i) })
@@ -65,6 +56,46 @@
 	w.watchPlanners()
 }
 
+// coreMachine returns the processes of a core machine, counted from 0.
+func (w *World) coreMachine(number int) []*process {
+	var processes []*process
+	for _, p := range w.processes {
+		if p.role != membership.Proxy && p.name[len(p.name)-1:] == fmt.Sprint(number+1) {
+			processes = append(processes, p)
+		}
+	}
+	return processes
+}
+
+// cutOffCoreMachine cuts a core machine off from the rest of the core for a time. All others reach
+// both sides.
+func (w *World) cutOffCoreMachine(number int, d time.Duration, style partitionStyle) {
+	mine := w.coreMachine(number)
+	here := processSide(mine...)
+	there := func(name string, zone ids.Name) bool { return w.coreSide(name, zone) && !here(name, zone) }
+	w.trace("%s and %s are cut off", mine[0].name, mine[1].name)
+	w.addPartition(d, &partition{sideA: there, sideB: here, partitionStyle: style})
+}
+
+// halvesAndOverlappingLosses cuts the core into two parts again and again. Under each cut the whole
+// core loses power, and then all proxies do, so that more is lost at once than is tolerated, but no
+// disk. Changes and reads at every daemon go on meanwhile.
+func halvesAndOverlappingLosses(w *World) {
+	w.repeat(4*time.Second, 14*time.Second, 3, func(i int) {
+		w.cutOffCoreMachine(i%3, 8*time.Second, partitionStyle{})
+		w.schedule(2*time.Second, func() {
+			for number := range 3 {
+				for _, p := range w.coreMachine(number) {
+					w.restartProcess(p, w.randomDuration(500*time.Millisecond, 3*time.Second))
+				}
+			}
+		})
+		w.schedule(4*time.Second, func() {
+			w.restartAll(w.remainingProcesses(membership.Proxy), func() time.Duration { return w.randomDuration(500*time.Millisecond, 2*time.Second) })
+		})
+	})
+}
+
 // probePartitioned makes one call to a registry that is cut off, which must answer within
 // probeTimeout that it can't serve it.
 func (w *World) probePartitioned(p *process, i int) {
