--- a/internal/controlplane/store/cluster_test.go
+++ b/internal/controlplane/store/cluster_test.go
@@ -10,6 +10,7 @@
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/controlplane/membership"
 	"dunlinwell/internal/state/consensus"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 const (
@@ -25,7 +26,7 @@
 
 // testDisk is the disk of one store, with its id and how often it was opened.
 type testDisk struct {
-	memoryStorage
+	memorydisk.Disk
 	storeID, runNumber uint64
 }
 
@@ -71,7 +72,7 @@
 	disk := c.disks[at]
 	if disk == nil {
 		c.nextID++
-		disk = &testDisk{storeID: c.nextID, memoryStorage: memoryStorage{}}
+		disk = &testDisk{storeID: c.nextID, Disk: memorydisk.Disk{}}
 		c.disks[at] = disk
 	}
 	disk.runNumber++
@@ -114,7 +115,7 @@
 		case event.Send:
 			c.queue = append(c.queue, message{at, x.To, x.Message})
 		case event.Sync:
-			c.disks[at].write(x.Records)
+			c.disks[at].Write(x.Records)
 			c.perform(at, x.After)
 			if c.stores[at] == nil {
 				return
--- a/internal/controlplane/store/voter_test.go
+++ b/internal/controlplane/store/voter_test.go
@@ -8,6 +8,7 @@
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/controlplane/membership"
 	"dunlinwell/internal/state/consensus"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 const (
@@ -23,8 +24,8 @@
 }}
 
 // newVoter returns a store that is one of threeVoters, and its disk.
-func newVoter() (*Store, memoryStorage) {
-	disk := memoryStorage{}
+func newVoter() (*Store, memorydisk.Disk) {
+	disk := memorydisk.Disk{}
 	s := New(Options{
 		Options: membership.Options{Self: membership.Member{ID: "store-1", Address: "10.0.0.1:1", RunID: 5, Incarnation: 1}},
 		StoreID: 1, RunNumber: 3, Storage: disk, Random: rand.New(rand.NewPCG(1, 1)), Replicas: 3,
@@ -37,13 +38,13 @@
 
 // performCommands carries out a store's commands, and those that follow from them. It
 // returns which messages were sent, and which of the received ones discarded.
-func performCommands(s *Store, disk memoryStorage, commands []event.Command) (sent []event.Send, discarded []event.Discarded) {
+func performCommands(s *Store, disk memorydisk.Disk, commands []event.Command) (sent []event.Send, discarded []event.Discarded) {
 	for len(commands) > 0 {
 		c := commands[0]
 		commands = commands[1:]
 		switch c := c.(type) {
 		case event.Sync:
-			disk.write(c.Records)
+			disk.Write(c.Records)
 			commands = append(append(commands, c.After...), s.Step(testTime, event.Synced{Batch: c.Batch})...)
 		case event.Send:
 			sent = append(sent, c)
@@ -55,12 +56,12 @@
 }
 
 // deliver gives a store a message, and performs what follows.
-func deliver(s *Store, disk memoryStorage, from ids.Address, msg any) ([]event.Send, []event.Discarded) {
+func deliver(s *Store, disk memorydisk.Disk, from ids.Address, msg any) ([]event.Send, []event.Discarded) {
 	return performCommands(s, disk, s.Step(testTime, event.Received{From: from, Message: msg}))
 }
 
 // persistedRecords copies what is on a disk, but for the saved membership list.
-func persistedRecords(disk memoryStorage) map[ids.RegisterKey]string {
+func persistedRecords(disk memorydisk.Disk) map[ids.RegisterKey]string {
 	records := map[ids.RegisterKey]string{}
 	for k, v := range disk {
 		if k != memberCacheKey {
--- a/internal/state/configuration/cluster_network_test.go
+++ b/internal/state/configuration/cluster_network_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"container/heap"
-	"maps"
-	"slices"
 	"time"
 
 	"dunlinwell/internal/base/event"
@@ -114,34 +112,3 @@
 		next.run()
 	}
 }
-
-// memoryDisk implements consensus.Storage. What was written outlives the process.
-type memoryDisk map[ids.RegisterKey][]byte
-
-func (m memoryDisk) Get(key ids.RegisterKey) ([]byte, bool) {
-	value, ok := m[key]
-	return value, ok
-}
-
-// registersEnd is the first key after all registers, whose keys begin with "item/".
-const registersEnd = "item0"
-
-func (m memoryDisk) Scan(after ids.RegisterKey, limit int) []event.Record {
-	var records []event.Record
-	for _, key := range slices.Sorted(maps.Keys(m)) {
-		if key > after && key < registersEnd && len(records) < limit {
-			records = append(records, event.Record{Key: key, Value: m[key]})
-		}
-	}
-	return records
-}
-
-func (m memoryDisk) write(records []event.Record) {
-	for _, record := range records {
-		if record.Delete {
-			delete(m, record.Key)
-		} else {
-			m[record.Key] = record.Value
-		}
-	}
-}
--- a/internal/state/configuration/cluster_test.go
+++ b/internal/state/configuration/cluster_test.go
@@ -9,6 +9,7 @@
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/state/configuration"
 	"dunlinwell/internal/state/consensus"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // cluster is three stores that hold the configuration, and the clients of two
@@ -28,7 +29,7 @@
 	event.Outbox
 	address ids.Address
 	id      uint64
-	disk    memoryDisk
+	disk    memorydisk.Disk
 	// run counts the runs of the process.
 	run uint64
 	up  bool
@@ -73,7 +74,7 @@
 func (c *cluster) startStores() {
 	voters := consensus.VoterSet{Number: 1}
 	for i := range 3 {
-		s := &storeNode{address: ids.Address(fmt.Sprint("store", i)), id: uint64(i + 1), disk: memoryDisk{}}
+		s := &storeNode{address: ids.Address(fmt.Sprint("store", i)), id: uint64(i + 1), disk: memorydisk.Disk{}}
 		voters.Voters = append(voters.Voters, consensus.Voter{ID: s.id, Address: s.address})
 		c.stores = append(c.stores, s)
 	}
@@ -135,7 +136,7 @@
 			if !s.up || s.run != run {
 				return
 			}
-			s.disk.write(sync.Records)
+			s.disk.Write(sync.Records)
 			s.Acceptor.Synced(sync.Batch)
 			c.execute(s, sync.After)
 			c.processCommands(s)
--- a/internal/state/consensus/acceptor_test.go
+++ b/internal/state/consensus/acceptor_test.go
@@ -9,6 +9,7 @@
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // A ballot below a promise is rejected, and the promise is on disk.
@@ -67,12 +68,12 @@
 func TestAcceptor_BlankVoterWithholdsItsVote(t *testing.T) {
 	is := is.New(t)
 	set := VoterSet{Number: 2, Voters: []Voter{{1, "a"}, {2, "b"}, {9, "c"}}}
-	blank := newTestAcceptor(9, memoryDisk{})
+	blank := newTestAcceptor(9, memorydisk.Disk{})
 	answers := func() (sent []any) {
 		for _, c := range blank.Drain() {
 			sync, ok := c.(event.Sync)
 			is.True(ok)
-			blank.disk.write(sync.Records)
+			blank.disk.Write(sync.Records)
 			for _, after := range sync.After {
 				sent = append(sent, after.(event.Send).Message)
 			}
@@ -112,7 +113,7 @@
 // once; where the run or the list is gone, everything.
 func TestAcceptor_LaterCopiesHoldChangesOnly(t *testing.T) {
 	is := is.New(t)
-	s := newTestAcceptor(1, memoryDisk{})
+	s := newTestAcceptor(1, memorydisk.Disk{})
 	s.SetRunID(7)
 	s.MarkComplete()
 	s.AdoptVoterSet(VoterSet{Number: 1, Voters: []Voter{{1, "a"}}})
--- a/internal/state/consensus/check_disk_test.go
+++ b/internal/state/consensus/check_disk_test.go
@@ -13,6 +13,7 @@
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // Whatever is damaged, cut short or missing is found at the start, and a store that can't
@@ -20,7 +21,7 @@
 func TestCheckDisk_FindsDamage(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(3, 4))
-	whole := memoryDisk{}
+	whole := memorydisk.Disk{}
 	s := newTestAcceptor(1, whole)
 	s.MarkComplete()
 	s.AdoptVoterSet(VoterSet{Number: 1, Voters: []Voter{{1, "a"}}})
@@ -40,13 +41,13 @@
 		if strings.HasPrefix(string(key), "meta/") {
 			continue
 		}
-		for name, damage := range map[string]func(memoryDisk){
-			"missing":      func(d memoryDisk) { delete(d, key) },
-			"cut short":    func(d memoryDisk) { d[key] = raw[:len(raw)-1] },
-			"cut in half":  func(d memoryDisk) { d[key] = raw[:len(raw)/2] },
-			"empty":        func(d memoryDisk) { d[key] = nil },
-			"flipped":      func(d memoryDisk) { d[key] = flipByte(raw, len(raw)/2) },
-			"newer format": func(d memoryDisk) { d[key] = flipByte(raw, 4) },
+		for name, damage := range map[string]func(memorydisk.Disk){
+			"missing":      func(d memorydisk.Disk) { delete(d, key) },
+			"cut short":    func(d memorydisk.Disk) { d[key] = raw[:len(raw)-1] },
+			"cut in half":  func(d memorydisk.Disk) { d[key] = raw[:len(raw)/2] },
+			"empty":        func(d memorydisk.Disk) { d[key] = nil },
+			"flipped":      func(d memorydisk.Disk) { d[key] = flipByte(raw, len(raw)/2) },
+			"newer format": func(d memorydisk.Disk) { d[key] = flipByte(raw, 4) },
 		} {
 			// Without its last change the disk looks as it did before that change.
 			if last := changeKey("policy", 3); name == "missing" && key == last {
@@ -61,7 +62,7 @@
 	}
 }
 
-func checkDamageIsFound(t *testing.T, disk memoryDisk) {
+func checkDamageIsFound(t *testing.T, disk memorydisk.Disk) {
 	t.Helper()
 	is := is.New(t)
 	if err := CheckDisk(disk); err == nil {
@@ -76,7 +77,7 @@
 
 // A caller can tell the causes of damage apart.
 func TestCheckDisk_WrapsTheCause(t *testing.T) {
-	whole := memoryDisk{}
+	whole := memorydisk.Disk{}
 	s := newTestAcceptor(1, whole)
 	s.AdoptVoterSet(VoterSet{Number: 1, Voters: []Voter{{1, "a"}}})
 	value := randomText(rand.New(rand.NewPCG(3, 4)), 5000)
@@ -88,16 +89,16 @@
 	s.syncAll()
 	base, firstChange := ids.RegisterKey("item/policy"), changeKey("policy", 0)
 	for name, c := range map[string]struct {
-		damage func(memoryDisk)
+		damage func(memorydisk.Disk)
 		want   error
 	}{
-		"altered":        {func(d memoryDisk) { d[base] = flipByte(d[base], len(d[base])-1) }, ErrChecksumMismatch},
-		"cut short":      {func(d memoryDisk) { d[firstChange] = d[firstChange][:len(d[firstChange])-1] }, ErrTruncated},
-		"another type":   {func(d memoryDisk) { d[base] = d[firstChange] }, ErrUnknownFormat},
-		"missing change": {func(d memoryDisk) { delete(d, firstChange) }, ErrMissingChange},
-		"missing base":   {func(d memoryDisk) { delete(d, base) }, ErrMissingBase},
-		"voter set":      {func(d memoryDisk) { d[voterSetRecordKey] = []byte("no record") }, ErrDamaged},
-		"disk state":     {func(d memoryDisk) { d[diskStateKey] = []byte("no record") }, ErrDamaged},
+		"altered":        {func(d memorydisk.Disk) { d[base] = flipByte(d[base], len(d[base])-1) }, ErrChecksumMismatch},
+		"cut short":      {func(d memorydisk.Disk) { d[firstChange] = d[firstChange][:len(d[firstChange])-1] }, ErrTruncated},
+		"another type":   {func(d memorydisk.Disk) { d[base] = d[firstChange] }, ErrUnknownFormat},
+		"missing change": {func(d memorydisk.Disk) { delete(d, firstChange) }, ErrMissingChange},
+		"missing base":   {func(d memorydisk.Disk) { delete(d, base) }, ErrMissingBase},
+		"voter set":      {func(d memorydisk.Disk) { d[voterSetRecordKey] = []byte("no record") }, ErrDamaged},
+		"disk state":     {func(d memorydisk.Disk) { d[diskStateKey] = []byte("no record") }, ErrDamaged},
 	} {
 		t.Run(name, func(t *testing.T) {
 			disk := maps.Clone(whole)
--- a/internal/state/consensus/lossy_network_test.go
+++ b/internal/state/consensus/lossy_network_test.go
@@ -9,6 +9,7 @@
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // lossyNetwork is three stores whose messages are lost, duplicated and delayed, and which
@@ -32,7 +33,7 @@
 func newLossyNetwork(seed uint64) *lossyNetwork {
 	l := &lossyNetwork{random: rand.New(rand.NewPCG(seed, 7)), now: 1, stores: map[ids.Address]*testStore{}}
 	for i, at := range addresses {
-		l.start(at, uint64(i+1), memoryDisk{})
+		l.start(at, uint64(i+1), memorydisk.Disk{})
 		l.stores[at].MarkComplete()
 		l.stores[at].AdoptVoterSet(threeVoters)
 	}
@@ -40,7 +41,7 @@
 }
 
 // start begins a run of a store on a disk.
-func (l *lossyNetwork) start(at ids.Address, store uint64, disk memoryDisk) {
+func (l *lossyNetwork) start(at ids.Address, store uint64, disk memorydisk.Disk) {
 	l.runCount++
 	l.stores[at] = newTestStore(store, disk, store<<24|l.runCount, appendArgOnce, l.random)
 }
--- a/internal/state/consensus/model_events_test.go
+++ b/internal/state/consensus/model_events_test.go
@@ -6,6 +6,7 @@
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 	"dunlinwell/internal/transport/wire"
 )
 
@@ -25,7 +26,7 @@
 	w.sets = []VoterSet{threeVoters}
 	raw, _ := wire.Encode(threeVoters)
 	for i := range addresses {
-		s := newModelStore(uint64(i+1), memoryDisk{}, 1)
+		s := newModelStore(uint64(i+1), memorydisk.Disk{}, 1)
 		w.stores[i] = s
 		s.acceptor.Seed(VoterSetKey, raw)
 		s.acceptor.MarkComplete()
@@ -118,7 +119,7 @@
 	if w.fault.keepsID {
 		id = s.acceptor.storeID
 	}
-	w.stores[i] = newModelStore(id, memoryDisk{}, 1)
+	w.stores[i] = newModelStore(id, memorydisk.Disk{}, 1)
 	w.stores[i].proposer.IsReachable = func(uint64) bool { return false }
 	if !learnsVoterSet {
 		return
@@ -148,7 +149,7 @@
 }
 
 // restart begins a run of a store on a disk.
-func (w *modelWorld) restart(i int, id uint64, d memoryDisk, run uint64) {
+func (w *modelWorld) restart(i int, id uint64, d memorydisk.Disk, run uint64) {
 	s := newModelStore(id, d, run)
 	s.proposer.IsReachable = func(uint64) bool { return false }
 	if w.fault.replacedVotes {
--- a/internal/state/consensus/model_store_test.go
+++ b/internal/state/consensus/model_store_test.go
@@ -9,6 +9,7 @@
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // The model consists of the real acceptors, proposers, copiers and change functions of the
@@ -26,7 +27,7 @@
 // modelStore is one store, with the progress of its machine in the search.
 type modelStore struct {
 	event.Outbox
-	disk      memoryDisk
+	disk      memorydisk.Disk
 	acceptor  *Acceptor
 	proposer  *Proposer
 	copier    Copier
@@ -38,7 +39,7 @@
 	hashCache uint64
 }
 
-func newModelStore(id uint64, d memoryDisk, run uint64) *modelStore {
+func newModelStore(id uint64, d memorydisk.Disk, run uint64) *modelStore {
 	s := &modelStore{disk: d, run: run, now: 1}
 	s.acceptor = NewAcceptor(id, d, &s.Outbox)
 	s.acceptor.SetRunID(run)
--- a/internal/state/consensus/model_world_test.go
+++ b/internal/state/consensus/model_world_test.go
@@ -7,6 +7,7 @@
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // modelRequest is a request in transit between machines; it may arrive late, or never.
@@ -44,7 +45,7 @@
 	// lastID is the id that was last given to a disk.
 	lastID uint64
 	// lostDisk is the disk that was lost first, nil for none or once it is restored.
-	lostDisk    memoryDisk
+	lostDisk    memorydisk.Disk
 	lostID      uint64
 	lostMachine int
 	lostRun     uint64
@@ -112,7 +113,7 @@
 		commands = commands[1:]
 		switch c := command.(type) {
 		case event.Sync:
-			s.disk.write(c.Records)
+			s.disk.Write(c.Records)
 			s.acceptor.Synced(c.Batch)
 			commands = slices.Concat(c.After, commands)
 		case event.Send:
@@ -183,7 +184,7 @@
 	}
 	for _, c := range s.Drain() {
 		sync := c.(event.Sync)
-		s.disk.write(sync.Records)
+		s.disk.Write(sync.Records)
 		s.acceptor.Synced(sync.Batch)
 		for _, after := range sync.After {
 			w.answer(request, s, after.(event.Send).Message)
--- a/internal/state/consensus/restart_test.go
+++ b/internal/state/consensus/restart_test.go
@@ -28,7 +28,7 @@
 			rest = append(rest, c)
 			continue
 		}
-		s.disk.write(sync.Records)
+		s.disk.Write(sync.Records)
 		s.Acceptor.Synced(sync.Batch)
 		for _, after := range sync.After {
 			if send, ok := after.(event.Send); ok && send.To == to {
--- a/internal/state/consensus/store_test.go
+++ b/internal/state/consensus/store_test.go
@@ -2,51 +2,23 @@
 
 import (
 	"bytes"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 
 	"dunlinwell/internal/base/event"
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 	"dunlinwell/internal/transport/wire"
 )
 
 // This file holds what the tests of the package share: a disk in memory, a store with its
 // acceptor and proposer, and the exchange of messages between three of them.
 
-// memoryDisk is a Storage that syncs at once and can be read again after a restart.
-type memoryDisk map[ids.RegisterKey][]byte
-
-func (d memoryDisk) Get(key ids.RegisterKey) ([]byte, bool) {
-	value, ok := d[key]
-	return value, ok
-}
-
-func (d memoryDisk) Scan(after ids.RegisterKey, n int) []event.Record {
-	var records []event.Record
-	for _, key := range slices.Sorted(maps.Keys(d)) {
-		if key > after && key < "item0" && len(records) < n {
-			records = append(records, event.Record{Key: key, Value: d[key]})
-		}
-	}
-	return records
-}
-
-func (d memoryDisk) write(records []event.Record) {
-	for _, record := range records {
-		if record.Delete {
-			delete(d, record.Key)
-		} else {
-			d[record.Key] = record.Value
-		}
-	}
-}
-
 // testStore is one store. A test carries out its commands and delivers its messages.
 type testStore struct {
 	event.Outbox
-	disk memoryDisk
+	disk memorydisk.Disk
 	*Acceptor
 	*Proposer
 	// bytesSynced counts the bytes of the values that syncAll wrote to the disk.
@@ -78,14 +50,14 @@
 }
 
 // newTestAcceptor returns a store without a proposer.
-func newTestAcceptor(id uint64, disk memoryDisk) *testStore {
+func newTestAcceptor(id uint64, disk memorydisk.Disk) *testStore {
 	s := &testStore{disk: disk}
 	s.Acceptor = NewAcceptor(id, disk, &s.Outbox)
 	return s
 }
 
 // newTestStore returns one run of a store.
-func newTestStore(id uint64, disk memoryDisk, proposerID uint64, change ChangeFunc, random *rand.Rand) *testStore {
+func newTestStore(id uint64, disk memorydisk.Disk, proposerID uint64, change ChangeFunc, random *rand.Rand) *testStore {
 	s := newTestAcceptor(id, disk)
 	s.Proposer = NewProposer(proposerID, s.Acceptor.VoterSet, map[Op]ChangeFunc{opAppend: change}, random, &s.Outbox)
 	return s
@@ -96,7 +68,7 @@
 	stores := map[ids.Address]*testStore{}
 	for i, at := range addresses {
 		id := uint64(i + 1)
-		s := newTestStore(id, memoryDisk{}, id, appendArg, rand.New(rand.NewPCG(1, uint64(i))))
+		s := newTestStore(id, memorydisk.Disk{}, id, appendArg, rand.New(rand.NewPCG(1, uint64(i))))
 		s.MarkComplete()
 		s.AdoptVoterSet(threeVoters)
 		stores[at] = s
@@ -114,7 +86,7 @@
 		commands = commands[1:]
 		switch c := command.(type) {
 		case event.Sync:
-			s.disk.write(c.Records)
+			s.disk.Write(c.Records)
 			for _, record := range c.Records {
 				s.bytesSynced += len(record.Value)
 			}
--- a/internal/state/consensus/stored_register_test.go
+++ b/internal/state/consensus/stored_register_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"dunlinwell/internal/base/ids"
+	"dunlinwell/internal/testsupport/memorydisk"
 	"dunlinwell/internal/transport/wire"
 )
 
@@ -16,7 +17,7 @@
 func TestRegister_SurvivesRestart(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(3, 4))
-	s := newTestAcceptor(1, memoryDisk{})
+	s := newTestAcceptor(1, memorydisk.Disk{})
 	value := randomText(random, 6000)
 	for i := range 1500 {
 		ballot := ids.Ballot{Counter: uint64(i) + 1<<41, Proposer: 1}
@@ -53,7 +54,7 @@
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(3, 4))
 	for _, size := range []int{300_000, 1_500_000, 4_500_000} {
-		s := newTestAcceptor(1, memoryDisk{})
+		s := newTestAcceptor(1, memorydisk.Disk{})
 		value := randomText(random, size)
 		for i := range 301 {
 			ballot := ids.Ballot{Counter: uint64(i) + 1<<41, Proposer: 1}
@@ -78,7 +79,7 @@
 	old := RegisterState{Promised: ballot, Accepted: ballot, Value: randomText(random, 9000)}
 	raw, err := wire.Encode(old)
 	is.NoErr(err)
-	disk := memoryDisk{"item/policy": raw, "item/mark/r/1": []byte("anything")}
+	disk := memorydisk.Disk{"item/policy": raw, "item/mark/r/1": []byte("anything")}
 	is.NoErr(CheckDisk(disk))
 	s := newTestAcceptor(1, disk)
 	is.Equal(s.registerState("policy"), old)
--- a/internal/testsupport/compat/answers_test.go
+++ b/internal/testsupport/compat/answers_test.go
@@ -15,6 +15,7 @@
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/controlplane/registry"
 	"dunlinwell/internal/state/configuration"
+	"dunlinwell/internal/testsupport/memorydisk"
 	"dunlinwell/platform"
 )
 
@@ -22,7 +23,7 @@
 // a configuration, and the configuration.
 func answering(t *testing.T) *api.Server {
 	t.Helper()
-	values, _ := writeSample(t, memoryDisk{})
+	values, _ := writeSample(t, memorydisk.Disk{})
 	held, err := configuration.Decode(values[configuration.Key])
 	if err != nil {
 		t.Fatal(err)
--- a/internal/testsupport/compat/policy_test.go
+++ b/internal/testsupport/compat/policy_test.go
@@ -7,13 +7,14 @@
 
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/state/configuration"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
 // The configuration goes to proxies whole without its history, or as what changed since
 // a revision; both lead to the same configuration.
 func TestConfigurationForProxies(t *testing.T) {
 	is := is.New(t)
-	values, _ := writeSample(t, memoryDisk{})
+	values, _ := writeSample(t, memorydisk.Disk{})
 	whole, err := configuration.Decode(values[configuration.Key])
 	is.NoErr(err)
 	older, err := configuration.Decode(nil)
--- a/internal/testsupport/compat/records_test.go
+++ b/internal/testsupport/compat/records_test.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 	"testing"
 
@@ -14,48 +12,12 @@
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/controlplane/store"
 	"dunlinwell/internal/state/consensus"
+	"dunlinwell/internal/testsupport/memorydisk"
 )
 
-// memoryDisk keeps records by key.
-type memoryDisk map[ids.RegisterKey][]byte
-
-// Get finds a record.
-func (d memoryDisk) Get(key ids.RegisterKey) ([]byte, bool) {
-	raw, ok := d[key]
-	return raw, ok
-}
-
-// Scan lists up to n records of registers behind a key.
-func (d memoryDisk) Scan(after ids.RegisterKey, n int) []event.Record {
-	var out []event.Record
-	for _, key := range slices.Sorted(maps.Keys(d)) {
-		if key > after && key < "item0" && len(out) < n {
-			out = append(out, event.Record{Key: key, Value: d[key]})
-		}
-	}
-	return out
-}
-
-// write does what an acceptor asks of its disk.
-func (d memoryDisk) write(commands []event.Command) {
-	for _, command := range commands {
-		sync, ok := command.(event.Sync)
-		if !ok {
-			continue
-		}
-		for _, record := range sync.Records {
-			if record.Delete {
-				delete(d, record.Key)
-			} else {
-				d[record.Key] = record.Value
-			}
-		}
-	}
-}
-
 // writeSample has an acceptor accept the values that the sample orders lead to,
 // and gives those values and what was told of each order. Ballots count up from 1.
-func writeSample(t *testing.T, disk memoryDisk) (values map[ids.RegisterKey][]byte, answers [][]byte) {
+func writeSample(t *testing.T, disk memorydisk.Disk) (values map[ids.RegisterKey][]byte, answers [][]byte) {
 	t.Helper()
 	var out event.Outbox
 	acceptor := consensus.NewAcceptor(1, disk, &out)
@@ -76,7 +38,11 @@
 		count++
 		ballot := ids.Ballot{Counter: count, Proposer: 1<<24 | 5}
 		acceptor.HandleAccept("10.0.0.2:1", consensus.Accept{Key: o.key, Ballot: ballot, NextBallot: ids.Ballot{Counter: count + 1, Proposer: ballot.Proposer}, VoterSetNumber: 3, Value: next})
-		disk.write(out.Drain())
+		for _, command := range out.Drain() {
+			if sync, ok := command.(event.Sync); ok {
+				disk.Write(sync.Records)
+			}
+		}
 	}
 	return values, answers
 }
@@ -86,7 +52,7 @@
 // differences behind it, each with its checksum.
 func TestRecordsOnDisk(t *testing.T) {
 	is := is.New(t)
-	disk := memoryDisk{}
+	disk := memorydisk.Disk{}
 	values, answers := writeSample(t, disk)
 	got := map[string]string{}
 	for key, raw := range disk {
@@ -105,7 +71,7 @@
 // The golden records are read back to the golden values.
 func TestRecordsAreReadBack(t *testing.T) {
 	is := is.New(t)
-	disk, values := memoryDisk{}, map[ids.RegisterKey][]byte{}
+	disk, values := memorydisk.Disk{}, map[ids.RegisterKey][]byte{}
 	for name, text := range readGolden(t, "testdata/records.txt") {
 		raw, err := hex.DecodeString(text)
 		is.NoErr(err)
