Mend: a registry that has just started doesn't acknowledge the end of a target it doesn't know

Cause, of the same class as the end that was undone: it answered 200 and could pass nothing on, so the end was acknowledged and in force nowhere. It answers 503 for 3 s now, and the target asks another registry. Measured: TestDeregister_UnknownTarget (200 at once before); registry tests, recorded traces, the control API's tests and the scenes of cut-off core machines pass.

--- a/internal/controlplane/registry/target_heartbeat.go
+++ b/internal/controlplane/registry/target_heartbeat.go
@@ -13,6 +13,11 @@
 // heartbeats of its last incarnation are still recognized.
 const goneTargetRetention = time.Hour
 
+// unknownTargetGrace is for how long after its start a registry can't tell a target that there
+// never was from one that it hasn't heard of yet: its peers' tables come with the digests of
+// their heartbeats (a second each, and one may be lost), the targets' own heartbeats later.
+const unknownTargetGrace = 3 * time.Second
+
 // Keys of the JSON bodies that targets are answered with. The bodies are maps rather
 // than structs: the recorded traces of testsupport/simulator and the adapter in
 // platform tell the two apart.
@@ -56,7 +61,8 @@
 // handleDeregister takes a target's final departure, given by its instance id alone.
 func (r *Registry) handleDeregister(now ids.Time, call DeregisterCall) {
 	target, known := r.Targets.Get(now, call.Instance)
-	if !known && !r.lease.isHeld(now) {
+	if !known && (!r.lease.isHeld(now) || now.Sub(r.startedAt) < unknownTargetGrace) {
+		// The target has to tell a registry that knows it.
 		r.replyUnavailable(call.ID)
 		return
 	}
--- a/internal/controlplane/registry/target_heartbeat_test.go
+++ b/internal/controlplane/registry/target_heartbeat_test.go
@@ -108,3 +108,16 @@
 	target, _ := r.Targets.Get(r.now, "i")
 	is.True(!target.Dead)
 }
+
+// TestDeregister_UnknownTarget: a registry that has just started doesn't acknowledge the end of a
+// target that it hasn't heard of, as it couldn't pass it on. Later it does, as there is none.
+func TestDeregister_UnknownTarget(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry(true)
+	r.run(time.Second, nil)
+	r.step(DeregisterCall{ID: 1, Instance: "i"})
+	is.Equal(r.statuses[1], 503)
+	r.run(unknownTargetGrace, nil)
+	r.step(DeregisterCall{ID: 2, Instance: "i"})
+	is.Equal(r.statuses[2], 200)
+}
