--- a/internal/dataplane/proxy/control_fixture_test.go
+++ b/internal/dataplane/proxy/control_fixture_test.go
@@ -51,7 +51,7 @@
 
 // encodedConfiguration is a configuration with as many services, named from "a", as its
 // revision says.
-func encodedConfiguration(t *testing.T, revision int) []byte {
+func encodedConfiguration(t testing.TB, revision int) []byte {
 	t.Helper()
 	document, err := configuration.Decode(nil)
 	if err != nil {
--- /dev/null
+++ b/internal/dataplane/proxy/refresh_bench_test.go
@@ -0,0 +1,33 @@
+package proxy
+
+import (
+	"testing"
+
+	"dunlinwell/internal/base/ids"
+)
+
+// BenchmarkRefresh_OneTargetChanged refreshes the dispatchers of a proxy in a large fleet after
+// the change of one target.
+func BenchmarkRefresh_OneTargetChanged(b *testing.B) {
+	f := newStormFixture(b)
+	holders := f.slotHolders(f.now)
+	sequence := ids.Sequence(2)
+	for b.Loop() {
+		target := stormTarget(0)
+		target.Sequence, target.Occupancy = sequence, int64(sequence)
+		sequence++
+		f.targets.Merge(f.now, target)
+		f.allocations(f.now, holders)
+	}
+}
+
+// BenchmarkRefresh_ProxyJoined refreshes them after a proxy has joined.
+func BenchmarkRefresh_ProxyJoined(b *testing.B) {
+	f := newStormFixture(b)
+	holders := f.slotHolders(f.now)
+	joined := append(holders, proxyMember("joined", "quay"))
+	for b.Loop() {
+		f.allocations(f.now, joined)
+		f.allocations(f.now, holders)
+	}
+}
--- a/internal/dataplane/proxy/refresh_test.go
+++ b/internal/dataplane/proxy/refresh_test.go
@@ -21,7 +21,7 @@
 )
 
 // newStormFixture is a proxy of a large fleet that knows all targets.
-func newStormFixture(t *testing.T) *controlFixture {
+func newStormFixture(t testing.TB) *controlFixture {
 	t.Helper()
 	f := &controlFixture{now: 1, Control: New(
 		membership.Options{Self: proxyMember("p", "quay"), Incremental: true},
