--- a/internal/dataplane/proxy/daemon.go
+++ b/internal/dataplane/proxy/daemon.go
@@ -42,7 +42,9 @@
 	// lastStep is when the control machine last stepped, as ids.Time; its age shows a
 	// freeze.
 	lastStep atomic.Int64
-	stopping atomic.Bool
+	// configurationConfirmedAt is the control machine's, as ids.Time.
+	configurationConfirmedAt atomic.Int64
+	stopping                 atomic.Bool
 	// mu guards the map; each dispatcher has a lock of its own.
 	mu          sync.RWMutex
 	dispatchers map[ids.Name]*serviceDispatcher
@@ -86,14 +88,18 @@
 	}
 }
 
-// stepRecorder records when the control machine last stepped.
+// stepRecorder records when the control machine last stepped, and how current its
+// configuration was then.
 type stepRecorder struct {
-	event.Machine
+	*Control
 	daemon *Daemon
 }
 
 func (r *stepRecorder) Step(now ids.Time, ev event.Event) []event.Command {
-	commands := r.Machine.Step(now, ev)
+	// The commands of the step before have been carried out, so that the router has what was
+	// confirmed in it.
+	r.daemon.configurationConfirmedAt.Store(int64(r.Control.configurationConfirmedAt))
+	commands := r.Control.Step(now, ev)
 	r.daemon.lastStep.Store(int64(now))
 	return commands
 }
--- a/internal/dataplane/proxy/frontend.go
+++ b/internal/dataplane/proxy/frontend.go
@@ -8,6 +8,7 @@
 	"dunlinwell/internal/base/ids"
 	"dunlinwell/internal/dataplane/dispatch"
 	"dunlinwell/internal/state/configuration"
+	"dunlinwell/internal/transport/process"
 )
 
 // Frontend is the protocol that a proxy speaks with clients, and the one that it speaks
@@ -44,6 +45,13 @@
 // confirmed recently enough.
 func (d *Daemon) LeaseValid() bool { return d.servingState.Load().LeaseValid }
 
+// ConfigurationAge returns for how long the configuration here may have been out of date: the
+// time since the majority read began by which it was last known to be the newest. Whatever
+// was accepted before that is in it.
+func (d *Daemon) ConfigurationAge() time.Duration {
+	return process.Now().Sub(ids.Time(d.configurationConfirmedAt.Load()))
+}
+
 // Ready tells whether the proxy takes new requests.
 func (d *Daemon) Ready() bool { return d.servingState.Load().Ready && !d.stopping.Load() }
 
