Failed try: a few client requests in work at a time, so that control messages come through

Try: a request waits for one of two turns from the arrival of its bytes until it waits for a target. What is ahead of a message lies in the poller and in new connections, which no turn bounds.

--- a/internal/dataplane/proxy/client_listener.go
+++ b/internal/dataplane/proxy/client_listener.go
@@ -26,6 +26,8 @@
 	// waits for none to be left.
 	openConns      atomic.Int64
 	lastConnClosed chan struct{}
+	// turns bound the work on requests of all connections.
+	turns processingTurns
 }
 
 const (
@@ -40,7 +42,7 @@
 )
 
 func newClientListener(listener net.Listener, handler http.Handler) *clientListener {
-	l := &clientListener{handler: handler, listener: listener, lastConnClosed: make(chan struct{}, 1)}
+	l := &clientListener{handler: handler, listener: listener, lastConnClosed: make(chan struct{}, 1), turns: newProcessingTurns()}
 	l.setLimits(configuration.DefaultLimits)
 	return l
 }
@@ -55,7 +57,7 @@
 	}
 	old := l.server
 	l.limits = limits
-	l.server = newClientServer(l.listener, l.handler, limits, l.connClosed)
+	l.server = newClientServer(l.listener, l.handler, limits, l.turns, l.connClosed)
 	if old != nil {
 		old.drain()
 	}
