--- a/internal/app/api/http.go
+++ b/internal/app/api/http.go
@@ -87,11 +87,8 @@
 }
 
 // ConnOf gives the connection that a request came on; nil if its server has no WithConn.
-func ConnOf(r *http.Request) net.Conn { return ConnFrom(r.Context()) }
-
-// ConnFrom is ConnOf by the request's context, or one made from it.
-func ConnFrom(request context.Context) net.Conn {
-	conn, _ := request.Value(connKey{}).(net.Conn)
+func ConnOf(r *http.Request) net.Conn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
 	return conn
 }
 
--- a/internal/dataplane/proxy/client_conn.go
+++ b/internal/dataplane/proxy/client_conn.go
@@ -25,79 +25,12 @@
 	readDeadline time.Time
 	// lastReadEnd is how the last read ended.
 	lastReadEnd readEnd
-	// turns are those of all connections of a listener; nil for no bound.
-	turns processingTurns
-	// hasTurn: a turn was taken for what was read last.
-	hasTurn bool
-	// arrivedAt is when something was read last, before the wait for a turn.
-	arrivedAt time.Time
 }
 
-// watchReadLength is how much net/http reads at a time while it only watches a connection whose
-// request is being handled.
-const watchReadLength = 1
-
-// Read reads what a client has sent, and waits for a turn to work on it.
 func (c *clientConn) Read(p []byte) (int, error) {
-	if len(p) == watchReadLength {
-		return c.read(p)
-	}
-	c.passTurn()
-	n, err := c.read(p)
-	if n > 0 {
-		c.takeTurn()
-	}
-	return n, err
-}
-
-// Write sends a part of a response. The client may take its time to read it, so the turn ends.
-func (c *clientConn) Write(p []byte) (int, error) {
-	c.passTurn()
-	return c.Conn.Write(p)
-}
-
-// Close closes the connection, and ends its turn.
-func (c *clientConn) Close() error {
-	c.passTurn()
-	return c.Conn.Close()
-}
-
-// takeTurn waits for a turn.
-func (c *clientConn) takeTurn() {
-	if c.turns == nil {
-		return
-	}
-	c.turns.take()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.hasTurn = true
-}
-
-// passTurn ends the turn of what was read last, if it hasn't ended yet.
-func (c *clientConn) passTurn() {
-	c.mu.Lock()
-	had := c.hasTurn
-	c.hasTurn = false
-	c.mu.Unlock()
-	if had {
-		c.turns.pass()
-	}
-}
-
-// lastArrival returns when something was read last.
-func (c *clientConn) lastArrival() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.arrivedAt
-}
-
-func (c *clientConn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && len(p) > watchReadLength {
-		c.arrivedAt = time.Now()
-	}
 	c.lastReadEnd = readEndOf(err)
 	switch {
 	case n > 0 && c.readExpired:
--- a/internal/dataplane/proxy/client_departure.go
+++ b/internal/dataplane/proxy/client_departure.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"time"
 
 	"dunlinwell/internal/app/api"
 )
@@ -69,24 +68,6 @@
 	return client, func() { stop(); cancel() }
 }
 
-// endTurn ends the processing turn of a request, by its context: it only waits from now on.
-func endTurn(request context.Context) {
-	if conn, ok := api.ConnFrom(request).(*clientConn); ok {
-		conn.passTurn()
-	}
-}
-
-// ArrivedAt returns when the last bytes of a request arrived. Since then it may have waited for its
-// turn to be worked on, which counts against its time.
-func ArrivedAt(r *http.Request) time.Time {
-	if conn, ok := api.ConnOf(r).(*clientConn); ok {
-		if at := conn.lastArrival(); !at.IsZero() {
-			return at
-		}
-	}
-	return time.Now()
-}
-
 // clientHasGone tells whether a request's context has ended because of its client.
 func clientHasGone(r *http.Request, rule HalfCloseRule) bool {
 	conn, ok := api.ConnOf(r).(*clientConn)
--- a/internal/dataplane/proxy/client_listener.go
+++ b/internal/dataplane/proxy/client_listener.go
@@ -26,8 +26,6 @@
 	// waits for none to be left.
 	openConns      atomic.Int64
 	lastConnClosed chan struct{}
-	// turns bound the work on requests of all connections.
-	turns processingTurns
 }
 
 const (
@@ -42,7 +40,7 @@
 )
 
 func newClientListener(listener net.Listener, handler http.Handler) *clientListener {
-	l := &clientListener{handler: handler, listener: listener, lastConnClosed: make(chan struct{}, 1), turns: newProcessingTurns()}
+	l := &clientListener{handler: handler, listener: listener, lastConnClosed: make(chan struct{}, 1)}
 	l.setLimits(configuration.DefaultLimits)
 	return l
 }
@@ -57,7 +55,7 @@
 	}
 	old := l.server
 	l.limits = limits
-	l.server = newClientServer(l.listener, l.handler, limits, l.turns, l.connClosed)
+	l.server = newClientServer(l.listener, l.handler, limits, l.connClosed)
 	if old != nil {
 		old.drain()
 	}
--- a/internal/dataplane/proxy/client_server.go
+++ b/internal/dataplane/proxy/client_server.go
@@ -22,8 +22,8 @@
 
 // newClientServer starts a server that gets its connections from a queue. connClosed is
 // called once for each that has ended.
-func newClientServer(listener net.Listener, handler http.Handler, limits configuration.Limits, turns processingTurns, connClosed func()) *clientServer {
-	s := &clientServer{queue: newConnQueue(listener, turns), conns: map[*clientConn]bool{}}
+func newClientServer(listener net.Listener, handler http.Handler, limits configuration.Limits, connClosed func()) *clientServer {
+	s := &clientServer{queue: newConnQueue(listener), conns: map[*clientConn]bool{}}
 	s.server = &http.Server{
 		Handler:           s.wrapHandler(handler),
 		ConnContext:       api.WithConn,
@@ -115,19 +115,18 @@
 type connQueue struct {
 	net.Listener
 	conns     chan net.Conn
-	turns     processingTurns
 	closed    chan struct{}
 	closeOnce sync.Once
 }
 
-func newConnQueue(listener net.Listener, turns processingTurns) *connQueue {
-	return &connQueue{Listener: listener, conns: make(chan net.Conn), turns: turns, closed: make(chan struct{})}
+func newConnQueue(listener net.Listener) *connQueue {
+	return &connQueue{Listener: listener, conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
 func (q *connQueue) Accept() (net.Conn, error) {
 	select {
 	case conn := <-q.conns:
-		return &clientConn{Conn: conn, turns: q.turns}, nil
+		return &clientConn{Conn: conn}, nil
 	case <-q.closed:
 		return nil, net.ErrClosed
 	}
--- a/internal/dataplane/proxy/dispatchers.go
+++ b/internal/dataplane/proxy/dispatchers.go
@@ -54,7 +54,6 @@
 		d.stepDispatcher(request.Job.Service, dispatch.ClientDisconnected{ID: request.Job.ID})
 	})
 	defer stop()
-	endTurn(client)
 	return <-pending.response, pending.forwardTime
 }
 
