Mend: a proxy behind with its messages doesn't go by an unconfirmed configuration

Change: a probe goes the way of a registry's message through the poller to the control machine each 250 ms; past configuration_apply_s without confirmation a proxy whose probe takes over 200 ms answers 503 with Retry-After. A proxy that is cut off has nothing unread and serves on. Metric message_delay_seconds, log event messages_delayed.

--- a/internal/dataplane/proxy/daemon.go
+++ b/internal/dataplane/proxy/daemon.go
@@ -44,6 +44,7 @@
 	lastStep atomic.Int64
 	// configurationConfirmedAt is the control machine's, as ids.Time.
 	configurationConfirmedAt atomic.Int64
+	delayProbe               delayProbe
 	stopping                 atomic.Bool
 	// mu guards the map; each dispatcher has a lock of its own.
 	mu          sync.RWMutex
@@ -99,6 +100,10 @@
 	// The commands of the step before have been carried out, so that the router has what was
 	// confirmed in it.
 	r.daemon.configurationConfirmedAt.Store(int64(r.Control.configurationConfirmedAt))
+	if _, ok := ev.(probeReturned); ok {
+		r.daemon.delayProbe.returned(now)
+		return nil
+	}
 	commands := r.Control.Step(now, ev)
 	r.daemon.lastStep.Store(int64(now))
 	return commands
--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -35,6 +35,9 @@
 //
 // In a fleet by zone some of them come later. A proxy with an endless lease goes on.
 //
+// With an endless lease it stops all the same while it is behind with its messages
+// (message_delay.go): the newer configuration may lie unread in its sockets.
+//
 // Invariants:
 //
 //   - No request is sent to a target after the lease has ended ([MaySend] is checked
--- a/internal/dataplane/proxy/frontend.go
+++ b/internal/dataplane/proxy/frontend.go
@@ -52,6 +52,18 @@
 	return process.Now().Sub(ids.Time(d.configurationConfirmedAt.Load()))
 }
 
+// MayHaveUnreadConfiguration tells whether a configuration that has to be in force by now may
+// lie unread here: the one in use, of the given age, wasn't confirmed within the bound, and
+// messages wait. If none wait there is no newer one: the proxy is cut off, and what its clients
+// get here they may get nowhere else.
+func (d *Daemon) MayHaveUnreadConfiguration(age, bound time.Duration) bool {
+	return age > bound && d.MessageDelay() > maxMessageDelay
+}
+
+// MessageDelay returns how long what has arrived here waits at present until it is read and
+// carried out.
+func (d *Daemon) MessageDelay() time.Duration { return d.delayProbe.delay(process.Now()) }
+
 // Ready tells whether the proxy takes new requests.
 func (d *Daemon) Ready() bool { return d.servingState.Load().Ready && !d.stopping.Load() }
 
--- a/internal/dataplane/proxy/log_events.go
+++ b/internal/dataplane/proxy/log_events.go
@@ -14,8 +14,11 @@
 	// logServingUnconfirmed (revision, confirmed_ms_ago): the proxy began to serve
 	// though no majority could confirm its configuration.
 	logServingUnconfirmed event.LogEvent = "serving_unconfirmed"
-	// logRequestsForwarded (service, same_zone, same_region, cross_region, retried):
-	// totals since the start of where requests were forwarded to.
+	// logMessagesDelayed (delay_ms, configuration_age_ms): messages wait here for long.
+	logMessagesDelayed event.LogEvent = "messages_delayed"
+	// logRequestsForwarded (service, same_zone, same_region, cross_region, retried,
+	// client_left): totals since the start of where requests were forwarded to, and of
+	// clients that went away before their response.
 	logRequestsForwarded event.LogEvent = "requests_forwarded"
 	// logRequestsFailed (service, reason, count): requests that got no response from a
 	// target since the last such entry, by reason.
--- a/internal/dataplane/proxy/pages.go
+++ b/internal/dataplane/proxy/pages.go
@@ -47,6 +47,7 @@
 		{Name: "cut_off", Value: gaugeOf(state.CutOff)},
 		{Name: "emptied", Value: gaugeOf(state.ZoneDrained)},
 		{Name: "held_bytes", Value: float64(d.memory.reserved.Load())},
+		{Name: "message_delay_seconds", Value: d.MessageDelay().Seconds()},
 	}
 	list = append(list, daemon.TrafficMetrics(d.transport.Stats)...)
 	for _, service := range d.serviceNames() {
--- a/internal/dataplane/proxy/refresh_bench_test.go
+++ b/internal/dataplane/proxy/refresh_bench_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"testing"
 
 	"dunlinwell/internal/base/ids"
@@ -25,7 +26,7 @@
 func BenchmarkRefresh_ProxyJoined(b *testing.B) {
 	f := newStormFixture(b)
 	holders := f.slotHolders(f.now)
-	joined := append(holders, proxyMember("joined", "quay"))
+	joined := append(slices.Clone(holders), proxyMember("joined", "quay"))
 	for b.Loop() {
 		f.allocations(f.now, joined)
 		f.allocations(f.now, holders)
--- a/internal/dataplane/proxy/run.go
+++ b/internal/dataplane/proxy/run.go
@@ -48,6 +48,9 @@
 	supervisor.Add(d.owner)
 	supervisor.Add(daemon.NewTask("transport", func(c context.Context) error { return d.transport.Serve(c, wire) }))
 	supervisor.Add(daemon.NewTask("timers", d.runTimers))
+	supervisor.Add(daemon.NewTask("delay probe", func(c context.Context) error {
+		return d.delayProbe.run(c, func() { d.owner.Put(probeReturned{}) })
+	}))
 	// The background tasks outlive ctx, since requests in flight need them.
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
@@ -134,6 +137,7 @@
 			d.pool.raiseRecentIdleLimit()
 			d.owner.Put(d.meter.takeSample())
 			d.logFailures()
+			d.logMessageDelay()
 		}
 	}
 }
@@ -150,6 +154,13 @@
 	}
 }
 
+// logMessageDelay logs how long messages wait here, if that is long.
+func (d *Daemon) logMessageDelay() {
+	if delay := d.MessageDelay(); delay >= loggedMessageDelay {
+		d.log.Event(event.LevelWarn, logMessagesDelayed, "delay_ms", formatMillis(delay), "configuration_age_ms", formatMillis(d.ConfigurationAge()))
+	}
+}
+
 // logFailures logs, for each service and reason, how many requests got no response from a
 // target since the last call.
 func (d *Daemon) logFailures() {
