--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -32,6 +32,7 @@
 func main() {
 	cases := map[string]func(program string, trouble bool, r *record) int{
 		"unknown-departure": unknownDeparture,
+		"second-loss":       secondLoss,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE PROGRAM RECORD")
