--- a/review/standins/second_loss.go
+++ b/review/standins/second_loss.go
@@ -136,5 +136,16 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	r.line("nothing came back for %s", readBackLimit)
+	for _, m := range f.cores {
+		for _, role := range []string{"store", "registry"} {
+			select {
+			case <-f.get(m, role).exited:
+				r.line("the %s of %s doesn't run", role, m.name)
+				return exitCouldNot
+			default:
+				r.line("the %s of %s runs", role, m.name)
+			}
+		}
+	}
 	return exitBroken
 }
