Review, case 5: a change that was taken is refused when it is sent again

The acknowledgement of a valid change is lost; another operator moves one of its routes on and drops the service that this route has left; the change, sent again unchanged, is answered 400 although its other route is in force.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -22,6 +22,7 @@
 	run    func(f *fleet, trouble bool) (int, error)
 }{
 	"extra-answers": {3, extraAnswers},
+	"resent-change": {3, resentChange},
 }
 
 func main() {
