--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -19,6 +19,8 @@
 	seal       string
 	retryAfter time.Duration
 	failure    string
+	address    string // of the proxy that took the request
+	sent, end  time.Time
 }
 
 // client is one stand-in client: it asks the directory, and sends each try on a new connection.
@@ -82,14 +84,15 @@
 	request.Header.Set("X-Attempt-Id", attempt)
 	request.Header.Set("X-Deadline-Milliseconds", strconv.FormatInt(left.Milliseconds(), 10))
 	c.f.record.log("client %s: %s sent to %s", c.zone, attempt, address)
+	sent := time.Now()
 	response, err := c.http.Do(request)
 	if err != nil {
 		c.f.record.log("client %s: %s got no answer: %v", c.zone, attempt, err)
-		return answer{failure: err.Error()}
+		return answer{failure: err.Error(), address: address, sent: sent, end: time.Now()}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	a := answer{status: response.StatusCode, seal: response.Header.Get("X-Server-Seal")}
+	a := answer{status: response.StatusCode, seal: response.Header.Get("X-Server-Seal"), address: address, sent: sent, end: time.Now()}
 	if err != nil {
 		a.failure = err.Error()
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,6 +23,7 @@
 }{
 	"extra-answers": {3, extraAnswers},
 	"resent-change": {3, resentChange},
+	"slow-reader":   {3, slowReader},
 }
 
 func main() {
--- a/review/standins-2/target.go
+++ b/review/standins-2/target.go
@@ -30,6 +30,8 @@
 	onArrival                func(attempt string)
 	onRun                    func(attempt, method, uri string, body []byte)
 	responseBytes            int
+	readPause                time.Duration // how long the target rests while it reads a large body
+	largeBodies              atomic.Int64
 	registered, acknowledged atomic.Bool
 }
 
@@ -117,8 +119,9 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(request.Body)
+		body, err := t.readBody(request)
 		if err != nil {
+			t.f.record.log("target %s: the body of %s breaks off after %d of %d bytes: %v", t.id, request.Header.Get("X-Attempt-Id"), len(body), request.ContentLength, err)
 			return
 		}
 		if again != nil {
@@ -139,6 +142,28 @@
 	}
 }
 
+// largeBody is the size from which a target that reads slowly rests.
+const largeBody = 32 << 10
+
+// readBody reads a body; of every second large one the first part, and the rest after a pause.
+func (t *target) readBody(request *http.Request) ([]byte, error) {
+	if t.readPause == 0 || request.ContentLength < largeBody || t.largeBodies.Add(1)%2 == 0 {
+		return io.ReadAll(request.Body)
+	}
+	body := make([]byte, largeBody)
+	if n, err := io.ReadFull(request.Body, body); err != nil {
+		return body[:n], err
+	}
+	attempt := request.Header.Get("X-Attempt-Id")
+	t.f.record.log("target %s: works on %s, of which it has read %d of %d bytes", t.id, attempt, len(body), request.ContentLength)
+	if t.onRun != nil {
+		t.onRun(attempt, request.Method, request.RequestURI, body)
+	}
+	time.Sleep(t.readPause)
+	rest, err := io.ReadAll(request.Body)
+	return append(body, rest...), err
+}
+
 // handle returns the status and the whole answer to a request.
 func (t *target) handle(request *http.Request, attempt string, body []byte) (int, []byte) {
 	load := func() string { return fmt.Sprintf("%d,0,%d", t.running.Load(), t.slots) }
