--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -1,4 +1,4 @@
-// Command standins2 runs the cases of the second review: it starts the deployed programs on
+// Command standins-2 runs the cases of the second review: it starts the deployed programs on
 // loopback addresses and plays the operator, the targets, the clients and the platform.
 package main
 
