proxy: a debug event for each attempt, and a metric of stale responses

attempt_finished (debug) has the request, its sequence number, the target, the connection's local address, whether it was used before, the stale responses and the result. dunlinwell_stale_responses_total counts responses that were skipped because they belong to another request.

--- a/internal/dataplane/dispatch/messages.go
+++ b/internal/dataplane/dispatch/messages.go
@@ -72,26 +72,6 @@
 	ClientError
 )
 
-// AttemptResult is the result of one forwarded attempt.
-type AttemptResult uint8
-
-const (
-	// NotSent means that no byte of the request left this proxy.
-	NotSent AttemptResult = iota + 1
-	// MayHaveRun means that bytes were sent and no complete response was received.
-	MayHaveRun
-	// Complete means that a complete response with a verified digest was received.
-	Complete
-	// NotExecuted means that the target stated that it hasn't run the request and won't.
-	NotExecuted
-	// WrongTarget means that another target now has the address, and stated that it
-	// hasn't run the request.
-	WrongTarget
-	// TargetFailed means that a complete response reported a failure of the target itself,
-	// so another target may succeed.
-	TargetFailed
-)
-
 // The events of a dispatcher, in addition to ServiceState and event.Tick.
 type (
 	// RequestArrived delivers a new request.
--- a/internal/dataplane/proxy/connection.go
+++ b/internal/dataplane/proxy/connection.go
@@ -30,6 +30,11 @@
 	// responsive is set if data was read since the current request began, or a read timed
 	// out. Otherwise a failed connection was dead before it was used.
 	responsive bool
+	// requestCount is the number of requests sent on the connection, including the current one.
+	requestCount int
+	// staleResponses is the number of responses to other requests that were read since the
+	// current request began.
+	staleResponses int
 	// stopWatching stops closing the connection at the end of a context, as begun by
 	// closeOnDone; nil if no context is watched.
 	stopWatching func() bool
--- a/internal/dataplane/proxy/daemon.go
+++ b/internal/dataplane/proxy/daemon.go
@@ -46,6 +46,9 @@
 	configurationConfirmedAt atomic.Int64
 	delayProbe               delayProbe
 	stopping                 atomic.Bool
+	// staleResponses is the number of targets' responses that belonged to another request than
+	// the one in progress on their connection, and were skipped.
+	staleResponses atomic.Uint64
 	// mu guards the map; each dispatcher has its own lock.
 	mu          sync.RWMutex
 	dispatchers map[ids.Name]*serviceDispatcher
--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -67,6 +67,8 @@
 	// This fails only on a closed connection, where the following write fails as well.
 	_ = conn.SetDeadline(deadline)
 	conn.closeOnDone(attempts.running)
+	conn.requestCount++
+	conn.staleResponses = 0
 	d.roundTrip(conn, request, f, &finished)
 	return finished
 }
@@ -74,30 +76,39 @@
 // roundTrip sends a request, reads the response and stores the outcome in finished. It returns
 // the connection to the pool or closes it.
 func (d *Daemon) roundTrip(conn *connection, request *ClientRequest, f dispatch.Forward, finished *dispatch.AttemptFinished) {
+	response, err := d.exchange(conn, request, f, finished)
+	// Another request may use the connection as soon as it is in the pool.
+	d.logAttempt(conn, request, f, *finished)
+	switch {
+	case err != nil:
+		d.discardFailed(conn)
+	case conn.release() && response.KeepAlive:
+		d.pool.put(f.Target.Instance, conn, response.IdleTimeout)
+	default:
+		conn.discard()
+	}
+}
+
+// exchange sends a request, reads the response and stores the outcome in finished.
+func (d *Daemon) exchange(conn *connection, request *ClientRequest, f dispatch.Forward, finished *dispatch.AttemptFinished) (CheckedResponse, error) {
 	header := d.targetProtocol.RequestHeader(request, f, f.Deadline.Sub(process.Now()))
 	written, err := conn.send(request, f, header)
 	if written > 0 {
 		finished.Result = dispatch.MayHaveRun
 	}
 	if err != nil {
-		d.discardFailed(conn)
 		finished.Reason = "sending: " + err.Error()
-		return
+		return CheckedResponse{}, err
 	}
 	response, err := d.readResponse(conn, request, f)
 	if err != nil {
-		d.discardFailed(conn)
 		finished.Reason = err.Error()
-		return
-	}
-	if conn.release() && response.KeepAlive {
-		d.pool.put(f.Target.Instance, conn, response.IdleTimeout)
-	} else {
-		conn.discard()
+		return CheckedResponse{}, err
 	}
 	finished.Result, finished.Response, finished.Reason = response.Result, response.Response, response.Reason
 	finished.LoadReported, finished.Running = response.LoadReported, response.Running
 	finished.Waiting, finished.Slots = response.Waiting, response.Slots
+	return response, nil
 }
 
 // discardFailed closes a connection on which a request failed. If nothing was received on it
--- a/internal/dataplane/proxy/log_events.go
+++ b/internal/dataplane/proxy/log_events.go
@@ -24,6 +24,10 @@
 	// logRequestsFailed (service, reason, count): the number of requests without a target's
 	// response since the last entry, by reason.
 	logRequestsFailed event.LogEvent = "requests_failed"
+	// logAttemptFinished (request, sequence, target, connection, reused, stale_responses,
+	// result, reason): a request, or a part of it, was sent to a target, and the attempt ended.
+	// connection is the local address, so that attempts on one connection can be recognized.
+	logAttemptFinished event.LogEvent = "attempt_finished"
 	// logStopping: the graceful shutdown started; requests in flight continue.
 	logStopping event.LogEvent = "stopping"
 	// logStopped: listeners are closed and the process is about to exit.
--- a/internal/dataplane/proxy/pages.go
+++ b/internal/dataplane/proxy/pages.go
@@ -49,6 +49,7 @@
 		{Name: "emptied", Value: gaugeOf(state.ZoneDrained)},
 		{Name: "held_bytes", Value: float64(d.memory.reserved.Load())},
 		{Name: "message_delay_seconds", Value: d.MessageDelay().Seconds()},
+		{Name: "stale_responses_total", Value: float64(d.staleResponses.Load()), IsCounter: true},
 	}
 	list = append(list, daemon.TrafficMetrics(d.transport.Stats)...)
 	for _, service := range d.serviceNames() {
--- a/internal/dataplane/proxy/target_response.go
+++ b/internal/dataplane/proxy/target_response.go
@@ -39,6 +39,8 @@
 			return checked, errs.Wrap(err, "check response", peer)
 		}
 		if checked.ForOtherRequest {
+			conn.staleResponses++
+			d.staleResponses.Add(1)
 			// The response to this request may follow.
 			continue
 		}
--- a/internal/transport/process/log.go
+++ b/internal/transport/process/log.go
@@ -60,5 +60,9 @@
 	entry.Msg(string(name))
 }
 
+// Enabled reports whether entries of a level are written. It saves building the fields of entries
+// that would be omitted.
+func (l *Log) Enabled(level event.Level) bool { return log.ParseLevel(string(level)) >= l.Level }
+
 // WriteEntry logs an entry emitted by a state machine.
 func (l *Log) WriteEntry(entry event.LogEntry) { l.Event(entry.Level, entry.Event, entry.Fields...) }
