--- a/internal/dataplane/proxy/client_request.go
+++ b/internal/dataplane/proxy/client_request.go
@@ -33,6 +33,9 @@
 	// AttemptID is the ID that the target must echo, in protocols where the client chooses
 	// it.
 	AttemptID string
+	// sentOn lists the connections that have carried the request. Only its current attempt
+	// uses the list.
+	sentOn []*connection
 }
 
 // requestError is the reason for rejecting a client's request: the status and the problem
--- a/internal/dataplane/proxy/connection_pool.go
+++ b/internal/dataplane/proxy/connection_pool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,11 +55,11 @@
 	tcpUserTimeout = 1200 * time.Millisecond
 )
 
-// take returns an idle connection to this run of a target, or nil. With recentlyUsedOnly it returns
-// only connections idle for at most recentIdleLimit.
-func (p *connectionPool) take(t targets.Target, recentlyUsedOnly bool) *connection {
+// take returns an idle connection to this run of a target that isn't one of the excluded ones, or
+// nil. With recentlyUsedOnly it returns only connections idle for at most recentIdleLimit.
+func (p *connectionPool) take(t targets.Target, recentlyUsedOnly bool, excluded []*connection) *connection {
 	for {
-		c := p.takeAny(t.Instance, recentlyUsedOnly)
+		c := p.takeAny(t.Instance, recentlyUsedOnly, excluded)
 		if c == nil || c.target == targetRunOf(t) {
 			return c
 		}
@@ -66,11 +67,11 @@
 	}
 }
 
-// takeAny returns a usable idle connection to any run of a target, or nil. It closes the
-// unusable connections that it finds.
-func (p *connectionPool) takeAny(id ids.InstanceID, recentlyUsedOnly bool) *connection {
+// takeAny returns a usable idle connection to any run of a target that isn't one of the excluded
+// ones, or nil. It closes the unusable connections that it finds.
+func (p *connectionPool) takeAny(id ids.InstanceID, recentlyUsedOnly bool, excluded []*connection) *connection {
 	for {
-		c := p.pop(id)
+		c := p.pop(id, excluded)
 		if c == nil {
 			return nil
 		}
@@ -84,16 +85,19 @@
 	}
 }
 
-// pop removes and returns the most recently used connection, or returns nil if there is none.
-func (p *connectionPool) pop(id ids.InstanceID) *connection {
+// pop removes and returns the most recently used connection that isn't one of the excluded ones,
+// or returns nil if there is none. Excluded connections stay in the pool.
+func (p *connectionPool) pop(id ids.InstanceID, excluded []*connection) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[id]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(excluded, c) {
+			p.idle[id] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	p.idle[id] = list[:len(list)-1]
-	return list[len(list)-1]
+	return nil
 }
 
 // effectiveRecentIdleLimit returns recentIdleLimit, or its initial value if it is 0.
--- a/internal/dataplane/proxy/doc.go
+++ b/internal/dataplane/proxy/doc.go
@@ -48,6 +48,8 @@
 //   - A push is acknowledged only after the dispatchers have received its contents.
 //   - A request that may have reached its target is never resent by this package, and no
 //     response is passed on before it was read completely and checked.
+//   - No connection carries the same request twice, so that the request's ID shows to which
+//     sending of it a response belongs.
 //   - Request and response bodies together stay within one memory budget; a request that
 //     doesn't fit is rejected immediately.
 //
--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -48,7 +48,7 @@
 func (d *Daemon) forward(attempts attemptContexts, request *ClientRequest, f dispatch.Forward) dispatch.AttemptFinished {
 	finished := dispatch.AttemptFinished{ID: f.ID, Sequence: f.Sequence, Result: dispatch.NotSent}
 	deadline := time.Now().Add(f.Deadline.Sub(process.Now()))
-	conn, err := d.connect(attempts.unsent, f, deadline)
+	conn, err := d.connect(attempts.unsent, request, f, deadline)
 	if err != nil {
 		finished.Reason = err.Error()
 		return finished
@@ -69,6 +69,7 @@
 	conn.closeOnDone(attempts.running)
 	conn.requestCount++
 	conn.staleResponses = 0
+	request.sentOn = append(request.sentOn, conn)
 	d.roundTrip(conn, request, f, &finished)
 	return finished
 }
@@ -121,10 +122,12 @@
 }
 
 // connect returns an idle connection from the pool, or opens a new one if there is none or
-// the dispatcher requires it.
-func (d *Daemon) connect(ctx context.Context, f dispatch.Forward, deadline time.Time) (*connection, error) {
+// the dispatcher requires it. It never returns a connection that has carried the request before:
+// all attempts of a request have the same ID, so a late second copy of the response to an earlier
+// one would be taken for the response to this one.
+func (d *Daemon) connect(ctx context.Context, request *ClientRequest, f dispatch.Forward, deadline time.Time) (*connection, error) {
 	if !f.NewConnection {
-		if conn := d.pool.take(f.Target, f.RecentlyUsedOnly); conn != nil {
+		if conn := d.pool.take(f.Target, f.RecentlyUsedOnly, request.sentOn); conn != nil {
 			return conn, nil
 		}
 	}
--- a/internal/dataplane/proxy/helpers_test.go
+++ b/internal/dataplane/proxy/helpers_test.go
@@ -91,7 +91,7 @@
 
 // closeIdleConnections closes all idle connections, so that the next request opens a new one.
 func (d *testDaemon) closeIdleConnections() {
-	for c := d.pool.takeAny("t", false); c != nil; c = d.pool.takeAny("t", false) {
+	for c := d.pool.takeAny("t", false, nil); c != nil; c = d.pool.takeAny("t", false, nil) {
 		c.discard()
 	}
 }
