--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -121,12 +121,12 @@
 	conn.discard()
 }
 
-// connect returns an idle connection from the pool, or opens a new one if there is none or
-// the dispatcher requires it. It never returns a connection that has carried the request before:
+// connect returns an idle connection from the pool, or opens a new one if there is none or the
+// dispatcher or the request's method requires it. It never returns a connection that has carried the request before:
 // all attempts of a request have the same ID, so a late second copy of the response to an earlier
 // one would be taken for the response to this one.
 func (d *Daemon) connect(ctx context.Context, request *ClientRequest, f dispatch.Forward, deadline time.Time) (*connection, error) {
-	if !f.NewConnection {
+	if !f.NewConnection && !needsOwnConnection(request.Method) {
 		if conn := d.pool.take(f.Target, f.RecentlyUsedOnly, request.sentOn); conn != nil {
 			return conn, nil
 		}
@@ -134,6 +134,11 @@
 	return d.pool.dial(ctx, f.Target, deadline)
 }
 
+// needsOwnConnection reports whether requests of a method must not share a connection with others.
+// Whether a response has a body depends on the method of its request. If one arrived late, where
+// the response to a request of another method is due, its end couldn't be found.
+func needsOwnConnection(method string) bool { return method == http.MethodHead }
+
 // maxCopiedBody is the largest body, in bytes, that is copied and sent in one write with its
 // header; larger ones are sent in a second write.
 const maxCopiedBody = 16 << 10
--- a/internal/dataplane/proxy/helpers_test.go
+++ b/internal/dataplane/proxy/helpers_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"testing"
@@ -71,7 +72,7 @@
 // just stepped.
 func (d *testDaemon) forwardRequest(target net.Listener, request *ClientRequest, recentlyUsedOnly bool, limit time.Duration) dispatch.AttemptFinished {
 	d.lastStep.Store(int64(process.Now()))
-	request.Method, request.URI, request.Header = "POST", "/x", http.Header{"Id": {request.AttemptID}}
+	request.Method, request.URI, request.Header = cmp.Or(request.Method, http.MethodPost), "/x", http.Header{"Id": {request.AttemptID}}
 	return d.forward(newAttemptContexts(), request, dispatch.Forward{
 		ID: 1, Sequence: 1, RecentlyUsedOnly: recentlyUsedOnly,
 		Deadline: process.Now().Add(limit), SendBefore: process.Now().Add(limit),
--- a/internal/dataplane/proxy/target_response.go
+++ b/internal/dataplane/proxy/target_response.go
@@ -46,7 +46,7 @@
 		}
 		d.meter.recordServerTiming(request.Job.Route, request.Job.Service, response.Header.Values("Server-Timing"))
 		// Data after the response doesn't belong to any request.
-		checked.KeepAlive = checked.KeepAlive && !response.Close && conn.reader.Buffered() == 0
+		checked.KeepAlive = checked.KeepAlive && !response.Close && conn.reader.Buffered() == 0 && !needsOwnConnection(request.Method)
 		return checked, nil
 	}
 	return CheckedResponse{}, errs.New("check response", peer, "answers to other requests stand in this one's place")
