proxy: a response whose head holds another one's status line is not used (REFUSED, MIXED)

What callers could see: a request that ran was counted as not executed (answered 503, or sent again: REFUSED, TWICE), or its body came with another answer's status (MIXED).

Cause: a target in trouble may cut an answer off or send bytes that are no answer. If such bytes end within a status line or a header's value, the next response continues that line: one head, with the first's status and headers and the second's attempt id. The check of the id passed it.

Why the mend works: bytes that merge with a response always leave its status line within a line of the head, in the reason phrase or a header's value.

--- a/internal/dataplane/proxy/target_response.go
+++ b/internal/dataplane/proxy/target_response.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
+	"regexp"
+	"slices"
 
 	"dunlinwell/internal/base/errs"
 	"dunlinwell/internal/dataplane/dispatch"
@@ -18,6 +21,28 @@
 	maxResponseHeader = 1 << 20
 )
 
+// errMergedResponses is returned if a target wrote the beginning of a response, or other bytes that
+// resemble one, right before a response. Which status and headers belong to the latter is unknown.
+var errMergedResponses = errors.New("another answer's head stands in this one's")
+
+// statusLinePattern matches the beginning of an HTTP/1 response.
+var statusLinePattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
+// containsStatusLine reports whether a response's reason phrase or one of its headers contains the
+// beginning of a response. Bytes that end within a line of a head merge with the next response, whose
+// status line then stands in their last line.
+func containsStatusLine(response *http.Response) bool {
+	if statusLinePattern.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLinePattern.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // readResponse reads a complete response and checks it with the target protocol. Clients see the
 // text of the error in HTTP responses.
 func (d *Daemon) readResponse(conn *connection, request *ClientRequest, f dispatch.Forward) (CheckedResponse, error) {
@@ -28,6 +53,9 @@
 		if err != nil {
 			return CheckedResponse{}, errs.Wrap(err, "read response", peer)
 		}
+		if containsStatusLine(response) {
+			return CheckedResponse{}, errs.Wrap(errMergedResponses, "check response", peer)
+		}
 		// readResponseBody limits the body.
 		conn.headerLimit.N = math.MaxInt64
 		body, err := d.readResponseBody(response, peer, request.Memory)
