--- a/internal/dataplane/proxy/stale_response_test.go
+++ b/internal/dataplane/proxy/stale_response_test.go
@@ -162,3 +162,10 @@
 		t.Errorf("%d idle connections, want 3", idle)
 	}
 }
+
+// arrivalCount returns how often the target received a request.
+func (a *arrivalTarget) arrivalCount(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.arrivals[id]
+}
