dispatch: a request that may have run isn't rejected when its retry is

What callers saw: a repeatable request was answered 503, which says that it surely hasn't run, although a target had run it and failed, or its response was lost, and its retry was then turned away, found no slot, or had its route changed. The users' rule REFUSED judges only requests that may not be repeated, and those were right: what may have run is final for them.

Cause: reject looked only at why the retry isn't sent, not at the attempts before it.

The trace rejected_after_run fails on the code before (rejected 503 instead of unknown 502).

Why the mend works: a job remembers that an attempt may have run, whatever became of later ones. reject answers it 502 (504 past the deadline), with the Retry-After that it would have had.

--- a/internal/dataplane/dispatch/attempt_result.go
+++ b/internal/dataplane/dispatch/attempt_result.go
@@ -39,3 +39,8 @@
 	}
 	return strconv.Itoa(int(r))
 }
+
+// excludesRun reports whether the request surely hasn't run, and won't, under the attempt.
+func (r AttemptResult) excludesRun() bool {
+	return r == NotSent || r == NotExecuted || r == WrongTarget
+}
--- a/internal/dataplane/dispatch/forward.go
+++ b/internal/dataplane/dispatch/forward.go
@@ -103,6 +103,7 @@
 
 // onSentAttemptFinished handles the end of an attempt of which bytes were sent.
 func (d *Dispatcher) onSentAttemptFinished(now ids.Time, j *job, result AttemptFinished) {
+	j.mayHaveRun = j.mayHaveRun || !result.Result.excludesRun()
 	switch {
 	case result.Result == Complete && !j.requiresIdempotencyKey():
 		d.respondAnswered(now, j, result.Response)
--- a/internal/dataplane/dispatch/job.go
+++ b/internal/dataplane/dispatch/job.go
@@ -58,6 +58,8 @@
 	// sentAttempts counts attempts of which bytes were sent. It is incremented with each
 	// Forward, and decremented if the result is NotSent.
 	sentAttempts int
+	// mayHaveRun is set once an attempt may have run. The job can't be rejected any more.
+	mayHaveRun bool
 	// target is the target at which the job holds a slot; empty for none.
 	target       ids.InstanceID
 	triedTargets map[ids.InstanceID]bool
--- a/internal/dataplane/dispatch/response.go
+++ b/internal/dataplane/dispatch/response.go
@@ -60,10 +60,18 @@
 	d.respond(now, j, Response{Class: Unknown, Status: status, Reason: reason, RetryAfter: retryAfter})
 }
 
-// reject ends a job that is known not to have run. A later attempt must first block the
+// reject ends a job that isn't forwarded (again). It responds that the job hasn't run, unless an
+// earlier attempt of a repeatable job may have. A later attempt by the client must first block the
 // earlier ones, as otherwise one of them might run after the client got the rejection.
 func (d *Dispatcher) reject(now ids.Time, j *job, reason string) {
 	d.releaseSlot(now, j)
+	if j.mayHaveRun {
+		d.respond(now, j, Response{
+			Class: Unknown, Status: unknownStatus(now, j), Reason: reasonRetriesExhausted + ": " + reason,
+			RetryAfter: d.retryAfter(now, j),
+		})
+		return
+	}
 	if j.requiresIdempotencyKey() && j.Attempt > 1 {
 		j.rejectReason = reason
 		d.callIdempotency(now, j, idempotency.OpBlock, blockingAttempts, responseHeldTimeout)
