--- a/internal/dataplane/proxy/merged_response_test.go
+++ b/internal/dataplane/proxy/merged_response_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,25 @@
 	}
 }
 
+// Guards against reading the response from within its own body: a cut response to another request
+// swallowed its beginning as the rest of a body.
+func TestForward_ResponseSwallowedByCutResponse(t *testing.T) {
+	const embedded = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nbad"
+	target, d := newArrivalTarget(t), newPlainDaemon(0)
+	response := plainResponse("a", embedded)
+	target.respond = func(*http.Request, int) string { return response }
+	for cut := range 8 {
+		missing := strings.Index(response, embedded)
+		target.again = func([]string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n", cut+missing) + strings.Repeat("x", cut)
+		}
+		finished := d.forwardRequest(target, &ClientRequest{AttemptID: "a"}, false, 100*time.Millisecond)
+		if finished.Result != dispatch.MayHaveRun {
+			t.Errorf("cut after %d bytes of the body: %v, body %q", cut, finished.Result, finished.Response.Body)
+		}
+	}
+}
+
 // Headers that name a protocol version are no sign of merged responses.
 func TestForward_HeadersWithProtocolVersion(t *testing.T) {
 	target, d := newArrivalTarget(t), newPlainDaemon(0)
--- a/internal/dataplane/proxy/target_response.go
+++ b/internal/dataplane/proxy/target_response.go
@@ -21,9 +21,9 @@
 	maxResponseHeader = 1 << 20
 )
 
-// errMergedResponses is returned if a target wrote the beginning of a response, or other bytes that
-// resemble one, right before a response. Which status and headers belong to the latter is unknown.
-var errMergedResponses = errors.New("another answer's head stands in this one's")
+// errMergedResponses is returned if a target wrote a part of a response, or other bytes that resemble
+// one, right before a response. Where the latter begins, and what belongs to it, is unknown.
+var errMergedResponses = errors.New("another answer's head stands in this one")
 
 // statusLinePattern matches the beginning of an HTTP/1 response.
 var statusLinePattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
@@ -69,6 +69,9 @@
 		if checked.ForOtherRequest {
 			conn.staleResponses++
 			d.staleResponses.Add(1)
+			if statusLinePattern.Match(body) {
+				return CheckedResponse{}, errs.Wrap(errMergedResponses, "check response", peer)
+			}
 			// The response to this request may follow.
 			continue
 		}
