--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -122,9 +122,9 @@
 }
 
 // connect returns an idle connection from the pool, or opens a new one if there is none or the
-// dispatcher or the request's method requires it. It never returns a connection that has carried the request before:
-// all attempts of a request have the same ID, so a late second copy of the response to an earlier
-// one would be taken for the response to this one.
+// dispatcher or the request's method requires it. It never returns a connection that has carried
+// the request before: all attempts of a request have the same ID, so a late second copy of the
+// response to an earlier one would be taken for the response to this one.
 func (d *Daemon) connect(ctx context.Context, request *ClientRequest, f dispatch.Forward, deadline time.Time) (*connection, error) {
 	if !f.NewConnection && !needsOwnConnection(request.Method) {
 		if conn := d.pool.take(f.Target, f.RecentlyUsedOnly, request.sentOn); conn != nil {
